--- a/apps/wigeonlbd/control/changedesk.cpp
+++ b/apps/wigeonlbd/control/changedesk.cpp
@@ -38,6 +38,12 @@
   Try(request, pending);
 }
 
+void
+ChangeDesk::SetMembers(std::vector<foundation::HostId> aMembers)
+{
+  members_ = std::move(aMembers);
+}
+
 void
 ChangeDesk::SetLeaderHint(const foundation::HostId& aLeader)
 {
@@ -56,6 +62,10 @@
 void
 ChangeDesk::Try(std::uint64_t aRequest, Pending& aPending)
 {
+  if (members_.empty()) {
+    aPending.nextTry_ = SteadyNow() + kResendMs;
+    return; // no control member is known yet
+  }
   const foundation::HostId member = NextMember(aPending);
   ++aPending.tries_;
   Send(member, aRequest, aPending);
@@ -116,7 +126,13 @@
   const Asker asker{ aFrom, aRequest.request(), aRequest.has_ticket() };
   // One that was cut off believes that it leads for a while longer than its
   // lease; what it logged then would end as unknown.
-  if (member_ == nullptr || !member_->IsReady() || !member_->HoldsLease()) {
+  const bool leads =
+    member_ != nullptr && member_->IsReady() && member_->HoldsLease();
+  const bool enough =
+    leads && static_cast<std::size_t>(
+               core::consensus::Members(member_->Consensus()).voters_size()) >=
+               fewestVoters_;
+  if (!enough) {
     wire::ChangeReply reply;
     reply.set_leader_hint(member_ == nullptr ? ""
                                              : member_->Consensus().leader_);
--- a/apps/wigeonlbd/control/changedesk.h
+++ b/apps/wigeonlbd/control/changedesk.h
@@ -46,6 +46,9 @@
   void OnTick();
   //! When the next tick has a change to resend or to give up.
   foundation::Instant NextDue() const;
+  void SetMembers(std::vector<foundation::HostId> aMembers);
+  //! Changes are logged only once so many voters take part.
+  void SetFewestVoters(std::size_t aVoters) { fewestVoters_ = aVoters; }
   void SetLeaderHint(const foundation::HostId& aLeader);
   const foundation::HostId& LeaderHint() const { return leaderHint_; }
   void OnRequest(const foundation::HostId& aFrom,
@@ -87,6 +90,7 @@
 
   foundation::HostId self_;
   std::vector<foundation::HostId> members_;
+  std::size_t fewestVoters_ = 0;
   ConsensusMember* member_;
   PeerPort& port_;
   foundation::HostId leaderHint_;
--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include "core/consensus/memberplan.h"
 #include "foundation/logging.h"
 #include "settings/filelimit.h"
 #include "storage/filesystem.h"
@@ -44,10 +45,14 @@
 
 ControlRuntime::ControlRuntime(const settings::DaemonSettings& aSettings,
                                std::uint64_t aBoot,
+                               const target::Protocol& aTargets,
+                               PromotionPort aPromote,
                                traffic::TrafficRuntime& aTraffic,
                                recording::TraceRecorder* aTrace)
   : settings_(aSettings)
   , boot_(aBoot)
+  , targets_(aTargets)
+  , promote_(std::move(aPromote))
   , traffic_(aTraffic)
   , trace_(aTrace)
   , work_(boost::asio::make_work_guard(context_))
@@ -99,6 +104,8 @@
   agent.self_.set_data_centre(settings_.dataCentre_);
   agent.self_.set_peer_address(settings_.peerAnnouncedAddress_);
   agent.self_.set_boot(boot_);
+  agent.self_.set_control_only(!settings::TakesCallers(settings_));
+  agent.self_.set_may_vote(settings::MayJoin(settings_));
   agent.members_ = MemberNames(settings_);
   agent.heartbeatInterval_ = settings_.heartbeatInterval_;
   agent.seed_ = boot_;
@@ -106,22 +113,36 @@
   agent_ = std::make_unique<HostAgent>(
     agent, settings_.dataFolder_.empty() ? nullptr : &folder_, *this, traffic_);
   agent_->onHosts_ = [this](const std::vector<wire::HostInfo>& aHosts) {
-    SetPeers(aHosts);
+    hosts_ = aHosts;
+    newcomers_.clear();
+    SetPeers();
   };
+  agent_->onMembers_ = [this](const wire::MemberChange& aMembers) {
+    TakeMembers(aMembers);
+  };
+  for (const settings::ControlMember& member : settings_.controlMembers_) {
+    memberAddresses_[member.host_] = member.peerAddress_;
+  }
 
-  if (settings::IsControlMember(settings_)) {
+  const bool member = settings_.controlSeeds_.empty()
+                        ? settings::IsControlMember(settings_)
+                        : settings::MayJoin(settings_);
+  if (member) {
     if (const std::error_code error = StartMember(aFindings)) {
       return error;
     }
   }
   desk_ = std::make_unique<ChangeDesk>(
     settings_.hostId_, MemberNames(settings_), member_.get(), *this);
+  if (!settings_.controlSeeds_.empty()) {
+    desk_->SetFewestVoters(WantedVoters());
+  }
 
   if (const std::error_code error = links_->Start()) {
     foundation::AddFinding(aFindings, "--peer-address", error.message());
     return error;
   }
-  SetPeers({});
+  SetPeers();
   if (const std::error_code error = agent_->Start()) {
     foundation::AddFinding(aFindings, "--data-folder", error.message());
     return error;
@@ -165,8 +186,16 @@
   const target::Login login{
     settings_.targetUser_, target::ApplicationName(settings_.hostId_, boot_)
   };
-  leader_ = std::make_unique<LeaderDriver>(
-    context_, settings_.hostId_, login, *member_, *this);
+  leader_ = std::make_unique<LeaderDriver>(context_,
+                                           settings_.hostId_,
+                                           login,
+                                           targets_,
+                                           promote_,
+                                           *member_,
+                                           *this);
+  if (!settings_.controlSeeds_.empty()) {
+    leader_->SetWantedVoters(WantedVoters());
+  }
   if (trace_ != nullptr) {
     leader_->onStep_ =
       [this](const core::failover::FailoverEvent& aEvent,
@@ -177,7 +206,12 @@
   }
   core::consensus::ConsensusSettings consensus;
   consensus.self_ = settings_.hostId_;
-  consensus.founders_ = MemberNames(settings_);
+  if (settings_.controlSeeds_.empty() || settings_.founding_) {
+    consensus.founders_ = MemberNames(settings_);
+    for (const settings::ControlMember& member : settings_.controlMembers_) {
+      consensus.founderAddresses_[member.host_] = member.peerAddress_;
+    }
+  }
   consensus.seed_ = boot_;
   const std::error_code error = member_->Start(consensus, aFindings);
   if (error) {
@@ -213,33 +247,80 @@
   onOperatorMessage_ = std::move(aHandler);
 }
 
+std::size_t
+ControlRuntime::WantedVoters() const
+{
+  return core::consensus::VotersFor(settings_.toleratedLosses_);
+}
+
 void
-ControlRuntime::SetPeers(const std::vector<wire::HostInfo>& aHosts)
+ControlRuntime::SetPeers()
 {
-  std::vector<peer::PeerEndpoint> peers;
-  for (const settings::ControlMember& member : settings_.controlMembers_) {
-    peers.push_back({ member.host_,
-                      member.peerAddress_,
-                      settings::IsControlMember(settings_) });
-  }
-  for (const wire::HostInfo& host : aHosts) {
-    const bool known = std::any_of(
-      peers.begin(), peers.end(), [&](const peer::PeerEndpoint& aPeer) {
-        return aPeer.host_ == host.host();
-      });
-    if (!known) {
-      peers.push_back({ host.host(), host.peer_address() });
-    }
+  std::map<foundation::HostId, peer::PeerEndpoint> peers;
+  for (const auto& [host, address] : newcomers_) {
+    peers[host] = { host, address };
   }
-  links_->SetPeers(peers);
-  CheckFileLimit(peers.size());
-  for (const wire::HostInfo& host : aHosts) {
+  for (const wire::HostInfo& host : hosts_) {
+    peers[host.host()] = { host.host(), host.peer_address() };
+  }
+  for (const auto& [host, address] : memberAddresses_) {
+    peers[host] = { host, address, IsMember() };
+  }
+  std::vector<peer::PeerEndpoint> endpoints;
+  endpoints.reserve(peers.size());
+  for (const auto& [host, endpoint] : peers) {
+    endpoints.push_back(endpoint);
+  }
+  links_->SetPeers(endpoints);
+  CheckFileLimit(endpoints.size());
+  for (const wire::HostInfo& host : hosts_) {
     if (IsLost(host.host())) {
       (void)links_->Touch(host.host()); // it may be back
     }
   }
 }
 
+void
+ControlRuntime::TakeMembers(const wire::MemberChange& aMembers)
+{
+  for (const auto& [host, address] : aMembers.addresses()) {
+    memberAddresses_[host] = address;
+  }
+  desk_->SetMembers({ aMembers.voters().begin(), aMembers.voters().end() });
+  SetPeers();
+}
+
+void
+ControlRuntime::EnsurePeer(const wire::HostInfo& aHost)
+{
+  const auto sameHost = [&](const wire::HostInfo& aKnown) {
+    return aKnown.host() == aHost.host() &&
+           aKnown.peer_address() == aHost.peer_address();
+  };
+  const auto newcomer = newcomers_.find(aHost.host());
+  const bool known =
+    aHost.host() == settings_.hostId_ ||
+    std::ranges::any_of(hosts_, sameHost) ||
+    memberAddresses_.contains(aHost.host()) ||
+    (newcomer != newcomers_.end() &&
+     newcomer->second == aHost.peer_address());
+  if (!known) {
+    newcomers_[aHost.host()] = aHost.peer_address();
+    SetPeers();
+  }
+}
+
+void
+ControlRuntime::PostSeeds(std::vector<settings::ControlMember> aSeeds)
+{
+  boost::asio::post(context_, [this, seeds = std::move(aSeeds)] {
+    for (const settings::ControlMember& seed : seeds) {
+      memberAddresses_[seed.host_] = seed.peerAddress_;
+    }
+    SetPeers();
+  });
+}
+
 void
 ControlRuntime::CheckFileLimit(std::size_t aHosts)
 {
@@ -414,6 +495,7 @@
       return;
     case Body::kHeartbeat:
       if (leader_ != nullptr) {
+        EnsurePeer(aMessage.heartbeat().sender());
         leader_->OnHeartbeat(std::move(*aMessage.mutable_heartbeat()));
       }
       return;
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -25,6 +25,8 @@
 public:
   ControlRuntime(const settings::DaemonSettings& aSettings,
                  std::uint64_t aBoot,
+                 const target::Protocol& aTargets,
+                 PromotionPort aPromote,
                  traffic::TrafficRuntime& aTraffic,
                  recording::TraceRecorder* aTrace);
   ~ControlRuntime() override;
@@ -33,6 +35,9 @@
   std::error_code Start(foundation::Findings& aFindings);
   void Stop();
 
+  //! Later settings name these hosts as control seeds. From any thread.
+  void PostSeeds(std::vector<settings::ControlMember> aSeeds);
+
   //! Sends a forward message to another host. From any thread.
   std::error_code SendForward(const foundation::HostId& aHost,
                               wire::PeerMessage aMessage);
@@ -79,12 +84,25 @@
   foundation::Instant NextDue() const;
   void OnTick();
   void AnswerChangesInForce();
-  void SetPeers(const std::vector<wire::HostInfo>& aHosts);
+  void SetPeers();
+  std::size_t WantedVoters() const;
+  //! Other control members are in force: they are asked, and links to them stay
+  //! open from a control member.
+  void TakeMembers(const wire::MemberChange& aMembers);
+  //! Knows the sender of a heartbeat, so that it can be answered.
+  void EnsurePeer(const wire::HostInfo& aHost);
+  bool IsMember() const { return member_ != nullptr; }
   //! Warns once when links to so many hosts need more files than are allowed.
   void CheckFileLimit(std::size_t aHosts);
 
   settings::DaemonSettings settings_;
   std::uint64_t boot_;
+  const target::Protocol& targets_;
+  PromotionPort promote_;
+  std::map<foundation::HostId, std::string> memberAddresses_;
+  std::vector<wire::HostInfo> hosts_;
+  //! Hosts that were heard and are not in the list of live ones yet.
+  std::map<foundation::HostId, std::string> newcomers_;
   traffic::TrafficRuntime& traffic_;
   recording::TraceRecorder* trace_;
   boost::asio::io_context context_{ 1 };
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -72,9 +72,37 @@
     alone_ = false;
     TakeUnusable(aReply);
   }
+  TakeMembers(aReply);
   Feed(grants::ReplyReceived{ aReply });
 }
 
+//! The hosts named at the start stay among those that are asked: they may know
+//! of members when all that are known here are gone.
+void
+HostAgent::TakeMembers(const wire::HeartbeatReply& aReply)
+{
+  if (!aReply.has_members() ||
+      aReply.members_index() <= holder_.membersIndex_) {
+    return;
+  }
+  std::vector<foundation::HostId> members(aReply.members().voters().begin(),
+                                          aReply.members().voters().end());
+  for (const foundation::HostId& host : settings_.members_) {
+    if (std::ranges::find(members, host) == members.end()) {
+      members.push_back(host);
+    }
+  }
+  foundation::LogChange(
+    "agent",
+    "members-changed",
+    { { "voters", std::to_string(aReply.members().voters_size()) },
+      { "index", std::to_string(aReply.members_index()) } });
+  if (onMembers_) {
+    onMembers_(aReply.members());
+  }
+  Feed(grants::MembersChanged{ std::move(members), aReply.members_index() });
+}
+
 void
 HostAgent::OnRevoke(const wire::RevokeGrant& aRevoke)
 {
@@ -88,7 +116,11 @@
 void
 HostAgent::OnAnnouncement(const wire::Announcement& aAnnouncement)
 {
-  core::membership::NoteAnnouncement(announced_, aAnnouncement, SteadyNow());
+  const bool taken = core::membership::NoteAnnouncement(
+    announced_, aAnnouncement, SteadyNow());
+  if (!taken) {
+    return; // late
+  }
   Feed(grants::AnnouncementReceived{ aAnnouncement });
   if (aAnnouncement.leaving()) {
     const auto group = view_.state_.groups().find(aAnnouncement.group());
@@ -98,6 +130,32 @@
   }
 }
 
+void
+HostAgent::OnTargetGone(const foundation::TargetName& aTarget,
+                        std::optional<std::uint64_t> aIncarnation)
+{
+  std::vector<wire::Announcement> gone;
+  for (const auto& [name, group] : view_.state_.groups()) {
+    const wire::TargetState* const target =
+      configuration::FindTarget(group, aTarget);
+    if (target == nullptr ||
+        aIncarnation.value_or(target->incarnation()) !=
+          target->incarnation()) {
+      continue;
+    }
+    wire::Announcement& announcement = gone.emplace_back();
+    announcement.set_group(name);
+    announcement.set_target(aTarget);
+    announcement.set_address(target->address());
+    announcement.set_incarnation(target->incarnation());
+    announcement.set_leaving(true);
+    announcement.set_gone(true);
+  }
+  for (const wire::Announcement& announcement : gone) {
+    OnAnnouncement(announcement);
+  }
+}
+
 void
 HostAgent::OnReports(std::vector<wire::TargetReport> aReports)
 {
@@ -277,14 +335,14 @@
 HostAgent::IsUsable(const wire::GroupState& aGroup,
                     const wire::TargetState& aTarget) const
 {
-  if (aTarget.draining() ||
+  if (aTarget.draining() || aTarget.leaving() ||
       unusable_.count({ aGroup.group(), aTarget.target() }) != 0) {
     return false;
   }
   const core::membership::TargetEntry* const entry =
     core::membership::FindTarget(announced_, aGroup.group(), aTarget.target());
-  return entry == nullptr || !entry->announcement_ ||
-         !entry->announcement_->leaving();
+  return entry == nullptr || !entry->leaving_ ||
+         entry->incarnation_ != aTarget.incarnation();
 }
 
 traffic::GroupRoute
@@ -304,6 +362,22 @@
   return route;
 }
 
+traffic::DatabaseRoute
+HostAgent::RouteOf(const wire::DatabaseState& aDatabase)
+{
+  traffic::DatabaseRoute route;
+  route.group_ = aDatabase.group();
+  route.readPolicy_ = aDatabase.read_policy();
+  if (aDatabase.has_max_age_us()) {
+    route.maxAge_ = foundation::Duration(aDatabase.max_age_us());
+  }
+  route.statementTimeout_ =
+    foundation::Duration(aDatabase.statement_timeout_us());
+  route.aim_ = foundation::Duration(aDatabase.aim_us());
+  route.priority_ = aDatabase.priority();
+  return route;
+}
+
 void
 HostAgent::Publish()
 {
@@ -311,8 +385,14 @@
   table->revision_ = view_.state_.revision();
   for (const auto& [name, group] : view_.state_.groups()) {
     table->groups_.emplace(name, RouteOf(group));
+    if (view_.state_.databases().empty()) {
+      table->databases_.emplace(name, traffic::DatabaseRoute{ name });
+    }
     PublishGroup(group);
   }
+  for (const auto& [name, database] : view_.state_.databases()) {
+    table->databases_.emplace(name, RouteOf(database));
+  }
   for (auto name = owned_.begin(); name != owned_.end();) {
     if (view_.state_.groups().count(*name) == 0) {
       traffic_.DropGroup(*name);
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +48,9 @@
   void OnReply(const wire::HeartbeatReply& aReply);
   void OnRevoke(const wire::RevokeGrant& aRevoke);
   void OnAnnouncement(const wire::Announcement& aAnnouncement);
+  //! A target of whichever group says that it ends.
+  void OnTargetGone(const foundation::TargetName& aTarget,
+                    std::optional<std::uint64_t> aIncarnation);
   void OnReports(std::vector<wire::TargetReport> aReports);
   //! Connections that a group may have open to one target; frees what a share
   //! that became smaller gave back.
@@ -59,6 +63,9 @@
   //! Nothing is in flight any more: gives every grant back.
   void ReleaseAll();
 
+  //! Called when other control members are in force.
+  std::function<void(const wire::MemberChange&)> onMembers_;
+
   //! Called with the live hosts whenever they change.
   std::function<void(const std::vector<wire::HostInfo>&)> onHosts_;
 
@@ -83,10 +90,12 @@
   void Execute(const core::grants::ConfigurationReceived& aAction);
   void Execute(const core::grants::HostsChanged& aAction);
 
+  void TakeMembers(const wire::HeartbeatReply& aReply);
   void TakeUnusable(const wire::HeartbeatReply& aReply);
   void Publish();
   void PublishGroup(const wire::GroupState& aGroup);
   traffic::GroupRoute RouteOf(const wire::GroupState& aGroup) const;
+  static traffic::DatabaseRoute RouteOf(const wire::DatabaseState& aDatabase);
 
   HostAgentSettings settings_;
   storage::DataFolder* folder_;
--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -4,6 +4,8 @@
 
 #include "control/targeterrand.h"
 #include "core/configuration/delta.h"
+#include "core/consensus/memberplan.h"
+#include "core/consensus/replicatedlog.h"
 #include "foundation/logging.h"
 
 namespace wigeonlb::daemon::control {
@@ -15,18 +17,24 @@
 using foundation::SteadyNow;
 
 constexpr Duration kReadTimeoutMs = std::chrono::milliseconds(350);
-constexpr Duration kPromotionTimeoutMs = std::chrono::milliseconds(1500);
+
+//! Pause between two proposals of a change of members.
+constexpr Duration kMembersPauseMs = std::chrono::milliseconds(200);
 
 } // namespace
 
 LeaderDriver::LeaderDriver(boost::asio::io_context& aContext,
                            foundation::HostId aSelf,
                            target::Login aLogin,
+                           const target::Protocol& aProtocol,
+                           PromotionPort aPromote,
                            ConsensusMember& aMember,
                            PeerPort& aPort)
   : context_(aContext)
   , self_(std::move(aSelf))
   , login_(std::move(aLogin))
+  , protocol_(aProtocol)
+  , promote_(std::move(aPromote))
   , member_(aMember)
   , port_(aPort)
 {
@@ -41,6 +49,36 @@
     return;
   }
   Feed(failover::Tick{});
+  PlanMembers();
+}
+
+void
+LeaderDriver::PlanMembers()
+{
+  const foundation::Instant now = SteadyNow();
+  if (wantedVoters_ == 0 || now - membersPlannedAt_ < kMembersPauseMs) {
+    return;
+  }
+  membersPlannedAt_ = now;
+  std::vector<core::consensus::MemberCandidate> live;
+  for (const auto& [name, host] : state_.membership_.hosts_) {
+    if (host.info_.may_vote()) {
+      live.push_back({ name, host.info_.peer_address() });
+    }
+  }
+  const auto step = core::consensus::PlanMembers(
+    member_.Consensus(), live, wantedVoters_, now);
+  if (!step) {
+    return;
+  }
+  foundation::LogChange(
+    "control",
+    "members-change-proposed",
+    { { "voters", std::to_string(step->voters_size()) },
+      { "learners", std::to_string(step->learners_size()) } });
+  wire::ControlRecord record;
+  *record.mutable_members() = *step;
+  Execute(failover::Propose{ std::move(record) });
 }
 
 //! The failover logic leads only once all that earlier leaders committed is
@@ -70,6 +108,7 @@
 {
   UpdateLeading();
   inForce_[aHeartbeat.sender().host()] = aHeartbeat.revision_in_force();
+  membersKnown_[aHeartbeat.sender().host()] = aHeartbeat.members_index();
   const foundation::Instant received = SteadyNow();
   if (!leading_ || !member_.HoldsLease()) {
     AnswerAsFollower(aHeartbeat);
@@ -90,6 +129,7 @@
   reply.set_sequence(aHeartbeat.sequence());
   reply.set_sent_at_us(aHeartbeat.sent_at_us());
   AddConfiguration(aHeartbeat.sender().host(), reply);
+  AddMembers(aHeartbeat.sender().host(), reply);
   reply.set_from(self_);
   reply.set_leader(false);
   reply.set_leader_hint(leaderHint_ == self_ ? "" : leaderHint_);
@@ -107,6 +147,27 @@
     core::configuration::DeltaSince(member_.Control(), revision));
 }
 
+void
+LeaderDriver::AddMembers(const foundation::HostId& aHost,
+                         wire::HeartbeatReply& aReply) const
+{
+  const auto& log = member_.Consensus().log_;
+  const std::uint64_t committed = member_.Consensus().commitIndex_;
+  // Counted from one: a host that knows of none says zero.
+  std::uint64_t index = 0;
+  for (const auto& [at, members] : log.members_) {
+    index = at <= committed ? at + 1 : index;
+  }
+  const auto known = membersKnown_.find(aHost);
+  const auto& members = core::consensus::MembersAt(log, committed);
+  const bool tells = !members.voters().empty() &&
+                     (known == membersKnown_.end() || known->second < index);
+  if (tells) {
+    *aReply.mutable_members() = members;
+    aReply.set_members_index(index);
+  }
+}
+
 void
 LeaderDriver::OnApplied(const core::configuration::ApplyResult& aResult)
 {
@@ -173,6 +234,7 @@
   wire::HeartbeatReply& reply = *message.mutable_heartbeat_reply();
   reply = std::move(aAction.reply_);
   AddConfiguration(aAction.host_, reply);
+  AddMembers(aAction.host_, reply);
   port_.SendControl(aAction.host_, std::move(message));
 }
 
@@ -188,7 +250,12 @@
 LeaderDriver::Execute(const failover::ReadTarget& aAction)
 {
   RunErrand(context_,
-            { aAction.address_, aAction.group_, login_ },
+            protocol_,
+            { aAction.address_,
+              aAction.group_,
+              login_,
+              aAction.target_,
+              aAction.incarnation_ },
             DialectOf(aAction.group_, aAction.target_),
             std::nullopt,
             kReadTimeoutMs,
@@ -214,29 +281,26 @@
                         "promotion-ordered",
                         { { "group", aAction.group_ },
                           { "target", aAction.target_ },
-                          { "term", std::to_string(aAction.term_) } });
-  const target::Dialect& dialect = DialectOf(aAction.group_, aAction.target_);
-  RunErrand(
-    context_,
-    { aAction.address_, aAction.group_, login_ },
-    dialect,
-    ErrandOrder{ target::WithTerm(dialect.promoteStatement_, aAction.term_),
-                 aAction.incarnation_,
-                 aAction.startOffset_ },
-    kPromotionTimeoutMs,
-    [this, alive = std::weak_ptr<bool>(alive_), order = aAction](
-      std::optional<wire::TargetReport> aReport) {
-      if (alive.expired()) {
-        return;
-      }
-      if (aReport) {
-        aReport->set_group(order.group_);
-        aReport->set_target(order.target_);
-        aReport->set_address(order.address_);
-      }
-      Feed(failover::PromotionAnswered{
-        order.group_, order.target_, order.term_, std::move(aReport) });
-    });
+                          { "term", std::to_string(aAction.term_) },
+                          { "fence", std::to_string(aAction.fence_) } });
+  promote_(context_,
+           aAction,
+           [this, alive = std::weak_ptr<bool>(alive_), order = aAction](
+             PromotionResult aResult) {
+             if (alive.expired()) {
+               return;
+             }
+             if (aResult.report_) {
+               aResult.report_->set_group(order.group_);
+               aResult.report_->set_target(order.target_);
+               aResult.report_->set_address(order.address_);
+             }
+             Feed(failover::PromotionAnswered{ order.group_,
+                                               order.target_,
+                                               order.term_,
+                                               std::move(aResult.report_),
+                                               aResult.taken_ });
+           });
 }
 
 const target::Dialect&
@@ -247,9 +311,7 @@
     group == member_.Control().groups().end()
       ? nullptr
       : core::configuration::FindTarget(group->second, aTarget);
-  const target::Dialect* const dialect =
-    target::FindDialect(target == nullptr ? "" : target->dialect());
-  return dialect == nullptr ? target::Dialects().front() : *dialect;
+  return protocol_.dialect_(target == nullptr ? "" : target->dialect());
 }
 
 } // namespace wigeonlb::daemon::control
--- a/apps/wigeonlbd/control/leaderdriver.h
+++ b/apps/wigeonlbd/control/leaderdriver.h
@@ -10,6 +10,7 @@
 
 #include "control/consensusmember.h"
 #include "control/peerport.h"
+#include "control/promotionport.h"
 #include "core/failover/failover.h"
 #include "target/dialect.h"
 #include "target/targetconnection.h"
@@ -26,6 +27,8 @@
   LeaderDriver(boost::asio::io_context& aContext,
                foundation::HostId aSelf,
                target::Login aLogin,
+               const target::Protocol& aProtocol,
+               PromotionPort aPromote,
                ConsensusMember& aMember,
                PeerPort& aPort);
 
@@ -47,6 +50,9 @@
   //! The member that leads, as far as this one knows; may be empty.
   const foundation::HostId& LeaderHint() const { return leaderHint_; }
 
+  //! Number of voters that the leader works towards; 0: as founded.
+  void SetWantedVoters(std::size_t aVoters) { wantedVoters_ = aVoters; }
+
   //! Revision in force on each host, as its last heartbeat told.
   const std::map<foundation::HostId, foundation::Revision>& RevisionsInForce()
     const
@@ -62,6 +68,11 @@
   void Execute(const core::failover::ReadTarget& aAction);
   void Execute(const core::failover::OrderPromotion& aAction);
   void UpdateLeading();
+  //! Proposes the next step of a change of control members, if one is due.
+  void PlanMembers();
+  //! The control members, for a host that knows of an older change.
+  void AddMembers(const foundation::HostId& aHost,
+                  wire::HeartbeatReply& aReply) const;
   void AnswerAsFollower(const wire::Heartbeat& aHeartbeat);
   void AddConfiguration(const foundation::HostId& aHost,
                         wire::HeartbeatReply& aReply) const;
@@ -71,10 +82,15 @@
   boost::asio::io_context& context_;
   foundation::HostId self_;
   target::Login login_;
+  const target::Protocol& protocol_;
+  PromotionPort promote_;
   ConsensusMember& member_;
   PeerPort& port_;
   core::failover::FailoverState state_;
   foundation::HostId leaderHint_;
+  std::size_t wantedVoters_ = 0;
+  foundation::Instant membersPlannedAt_;
+  std::map<foundation::HostId, std::uint64_t> membersKnown_; //!< by index
   bool leading_ = false;
   std::map<foundation::HostId, foundation::Revision> inForce_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/apps/wigeonlbd/control/targeterrand.cpp
+++ b/apps/wigeonlbd/control/targeterrand.cpp
@@ -14,6 +14,7 @@
 {
 public:
   Errand(boost::asio::io_context& aContext,
+         const target::Protocol& aProtocol,
          const target::Dialect& aDialect,
          std::optional<ErrandOrder> aOrder,
          ErrandDone aDone)
@@ -22,7 +23,7 @@
     , order_(std::move(aOrder))
     , done_(std::move(aDone))
     , timer_(aContext)
-    , connection_(new target::TargetConnection(aContext, *this))
+    , connection_(aProtocol.connect_(aContext, *this))
   {
   }
 
@@ -90,8 +91,12 @@
   }
 
   void OnIdle(target::TargetConnection& /*aConnection*/,
-              char /*aStatus*/) override
+              char /*aStatus*/,
+              const std::optional<foundation::LogPosition>& aPosition) override
   {
+    if (report_ && aPosition) {
+      report_->set_applied_offset(aPosition->offset_);
+    }
     if (phase_ == Phase::Ordering) {
       // The status tells whether the order was followed.
       failed_ = false;
@@ -109,7 +114,7 @@
   {
     phase_ = Phase::Reading;
     report_.reset();
-    connection_->Send(std::string(dialect_.statusStatement_));
+    Send(std::string(dialect_.statusStatement_));
   }
 
   void GiveOrder()
@@ -123,7 +128,13 @@
     phase_ = Phase::Ordering;
     const std::string statement = std::move(order_->statement_);
     order_.reset();
-    connection_->Send(statement);
+    Send(statement);
+  }
+
+  void Send(std::string aStatement)
+  {
+    const target::Query query{ std::move(aStatement) };
+    connection_->Send({ &query, 1 });
   }
 
   void Finish(std::optional<wire::TargetReport> aReport)
@@ -157,6 +168,7 @@
 
 void
 RunErrand(boost::asio::io_context& aContext,
+          const target::Protocol& aProtocol,
           const target::TargetAddress& aAddress,
           const target::Dialect& aDialect,
           std::optional<ErrandOrder> aOrder,
@@ -164,7 +176,7 @@
           ErrandDone aDone)
 {
   const auto errand = std::make_shared<Errand>(
-    aContext, aDialect, std::move(aOrder), std::move(aDone));
+    aContext, aProtocol, aDialect, std::move(aOrder), std::move(aDone));
   errand->Start(aAddress, aTimeout);
 }
 
--- a/apps/wigeonlbd/control/targeterrand.h
+++ b/apps/wigeonlbd/control/targeterrand.h
@@ -33,6 +33,7 @@
 //! for control on each target.
 void
 RunErrand(boost::asio::io_context& aContext,
+          const target::Protocol& aProtocol,
           const target::TargetAddress& aAddress,
           const target::Dialect& aDialect,
           std::optional<ErrandOrder> aOrder,
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -1,13 +1,14 @@
 #include "daemon.h"
 
 #include <random>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <xxhash.h>
 
 #include "foundation/logging.h"
 #include "operations/gauges.h"
-#include "platform/platformroutes.h"
 #include "settings/filelimit.h"
 
 namespace wigeonlb::daemon {
@@ -19,6 +20,9 @@
 
 constexpr Duration kDrainTickMs = std::chrono::milliseconds(20);
 
+//! Interval at which the settings file is looked at.
+constexpr Duration kWatchIntervalMs = std::chrono::milliseconds(1000);
+
 constexpr Duration kGaugeIntervalMs = std::chrono::milliseconds(1000);
 
 //! Time for the other hosts to learn that this one drains.
@@ -33,8 +37,9 @@
 
 } // namespace
 
-Daemon::Daemon(settings::DaemonSettings aSettings)
+Daemon::Daemon(settings::DaemonSettings aSettings, Ports aPorts)
   : settings_(std::move(aSettings))
+  , ports_(std::move(aPorts))
   , boot_(MakeBoot())
   , metrics_(registry_)
 {
@@ -57,10 +62,22 @@
   recording::TraceRecorder* const trace =
     settings_.traceFile_.empty() ? nullptr : &recorder_;
   callbacks.trace_ = trace;
-  traffic_ = std::make_unique<traffic::TrafficRuntime>(
-    settings_, boot_, metrics_, std::move(callbacks));
+  traffic_ = std::make_unique<traffic::TrafficRuntime>(settings_,
+                                                       boot_,
+                                                       metrics_,
+                                                       ports_.protocols_,
+                                                       ports_.classify_,
+                                                       std::move(callbacks));
+  const target::Login login{
+    settings_.targetUser_, target::ApplicationName(settings_.hostId_, boot_)
+  };
   control_ = std::make_unique<control::ControlRuntime>(
-    settings_, boot_, *traffic_, trace);
+    settings_,
+    boot_,
+    *ports_.protocols_.targets_,
+    ports_.makePromotion_(settings_, login),
+    *traffic_,
+    trace);
 }
 
 Daemon::~Daemon()
@@ -76,20 +93,15 @@
   if (!aFindings.empty() || !StartRecording(aFindings)) {
     return false;
   }
-  platform::PlatformCallbacks platform;
-  platform.isServing_ = [this] { return !draining_; };
-  platform.onAnnouncement_ = [this](wire::Announcement&& aAnnouncement) {
-    control_->Agent().OnAnnouncement(aAnnouncement);
-  };
-  platform::RegisterPlatformRoutes(platformRouter_, std::move(platform));
+  ports_.registerRoutes_(announceRouter_, MakeInterface());
   operations_ =
     std::make_unique<operations::Operations>(*control_, *traffic_, registry_);
   operations_->RegisterRoutes(operatorRouter_);
 
-  if (!StartEndpoint(platformServer_,
-                     settings_.platformAddress_,
-                     platformRouter_,
-                     "--platform-address",
+  if (!StartEndpoint(announceServer_,
+                     settings_.announceAddress_,
+                     announceRouter_,
+                     "--announce-address",
                      aFindings) ||
       !StartEndpoint(operatorServer_,
                      settings_.operatorAddress_,
@@ -112,6 +124,102 @@
   return true;
 }
 
+ControlInterface
+Daemon::MakeInterface()
+{
+  ControlInterface interface;
+  interface.isServing_ = [this] {
+    // A host that knows no group yet could only refuse its callers.
+    return !draining_ && control_->Agent().View().state_.revision() != 0;
+  };
+  interface.onAnnouncement_ = [this](wire::Announcement&& aAnnouncement) {
+    control_->Agent().OnAnnouncement(aAnnouncement);
+  };
+  interface.onTargetGone_ = [this](
+                              const foundation::TargetName& aTarget,
+                              std::optional<std::uint64_t> aIncarnation) {
+    control_->Agent().OnTargetGone(aTarget, aIncarnation);
+  };
+  interface.adopt_ =
+    [this](wire::NumberedConfiguration aConfiguration,
+           const std::function<void(AdoptionAnswer)>& aDone) {
+      Adopt(std::move(aConfiguration), aDone);
+    };
+  interface.readDocument_ =
+    [this](const operations::Operations::DocumentDone& aDone) {
+      operations_->ReadDocument(aDone);
+    };
+  return interface;
+}
+
+void
+Daemon::Adopt(wire::NumberedConfiguration aConfiguration,
+              const std::function<void(AdoptionAnswer)>& aDone)
+{
+  wire::ConfigurationChange change;
+  // The same document sent again is the same change.
+  const std::string& document = aConfiguration.document();
+  change.set_change_id(
+    "configuration-" + std::to_string(aConfiguration.number()) + "-" +
+    std::to_string(XXH3_64bits(document.data(), document.size())));
+  change.set_operator_name("numbered configuration");
+  *change.add_operations()->mutable_adopt() = std::move(aConfiguration);
+  control_->SubmitChange(
+    std::move(change), [aDone](const control::ChangeAnswer& aAnswer) {
+      if (aAnswer.end_ != control::ChangeEnd::Decided) {
+        aDone({ AdoptionEnd::Unknown, "no control leader has decided it" });
+        return;
+      }
+      aDone({ aAnswer.result_.accepted() ? AdoptionEnd::Accepted
+                                         : AdoptionEnd::Refused,
+              aAnswer.result_.message() });
+    });
+}
+
+void
+Daemon::SetReload(Reload aReload, std::string aFile)
+{
+  reload_ = std::move(aReload);
+  if (!aFile.empty()) {
+    watch_.emplace(std::move(aFile));
+  }
+}
+
+//! What can't change while the process runs stays as it is until the next start.
+void
+Daemon::ReloadSettings()
+{
+  const auto read = reload_ ? reload_() : std::nullopt;
+  if (!read) {
+    foundation::LogWarning("daemon", "settings-kept");
+    return;
+  }
+  foundation::SetUpLogging(read->logLevel_);
+  control_->PostSeeds(read->controlMembers_);
+  foundation::LogChange(
+    "daemon",
+    "settings-read",
+    { { "log_level", read->logLevel_ },
+      { "control_seeds", std::to_string(read->controlSeeds_.size()) } });
+}
+
+void
+Daemon::WatchFile()
+{
+  if (!watch_) {
+    return;
+  }
+  if (watch_->HasChanged()) {
+    ReloadSettings();
+  }
+  watchTimer_.expires_after(kWatchIntervalMs);
+  watchTimer_.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      WatchFile();
+    }
+  });
+}
+
 bool
 Daemon::StartRecording(foundation::Findings& aFindings)
 {
@@ -153,17 +261,18 @@
 int
 Daemon::Run()
 {
-  boost::asio::signal_set signals(signals_, SIGTERM, SIGINT);
+  boost::asio::signal_set signals(signals_, SIGTERM, SIGINT, SIGHUP);
   std::function<void()> wait = [&] {
     signals.async_wait(
-      [&](const boost::system::error_code& aError, int /*aSignal*/) {
+      [&](const boost::system::error_code& aError, int aSignal) {
         if (!aError) {
-          OnSignal();
+          OnSignal(aSignal);
           wait();
         }
       });
   };
   wait();
+  WatchFile();
   ExportGauges();
   signals_.run();
   control_->Stop();
@@ -188,8 +297,12 @@
 }
 
 void
-Daemon::OnSignal()
+Daemon::OnSignal(int aSignal)
 {
+  if (aSignal == SIGHUP) {
+    ReloadSettings();
+    return;
+  }
   if (draining_) {
     exitCode_ = 1;
     foundation::LogWarning("daemon", "stopped-by-second-signal");
@@ -208,7 +321,6 @@
     "daemon",
     "draining",
     { { "sessions", std::to_string(traffic_->SessionCount()) } });
-  traffic_->Drain();
   control_->PostDraining();
   OnDrainTick();
 }
@@ -217,7 +329,12 @@
 Daemon::OnDrainTick()
 {
   const Duration waited = SteadyNow() - drainStarted_;
-  if (waited >= kDrainNoticeMs && IsDrained()) {
+  // Until the balancer has noticed, it goes on sending new callers here.
+  if (!callersStopped_ && waited >= settings_.balancerNotice_) {
+    callersStopped_ = true;
+    traffic_->Drain();
+  }
+  if (callersStopped_ && waited >= kDrainNoticeMs && IsDrained()) {
     control_->PostReleaseAll();
     signals_.stop();
     return;
--- a/apps/wigeonlbd/daemon.h
+++ b/apps/wigeonlbd/daemon.h
@@ -1,23 +1,29 @@
 #pragma once
 
+#include <atomic>
+#include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "control/controlruntime.h"
 #include "http/httprouter.h"
 #include "http/httpserver.h"
 #include "operations/operations.h"
+#include "ports.h"
 #include "recording/tracerecorder.h"
 #include "settings/daemonsettings.h"
+#include "settings/settingsfile.h"
 #include "traffic/trafficruntime.h"
 
 namespace wigeonlb::daemon {
 
 //! The whole process: control thread, traffic threads, the endpoints of
-//! platform and operators, and the graceful stop.
+//! announcements and operators, and the graceful stop.
 class Daemon
 {
 public:
-  explicit Daemon(settings::DaemonSettings aSettings);
+  Daemon(settings::DaemonSettings aSettings, Ports aPorts);
   ~Daemon();
 
   //! Opens everything. Findings name the setting that can't be used.
@@ -26,9 +32,19 @@
   //! Serves until a signal; returns the exit code.
   int Run();
 
+  //! Called at SIGHUP and when the settings file has changed. Gives the settings
+  //! as they are now, or nothing when they have findings.
+  using Reload = std::function<std::optional<settings::DaemonSettings>()>;
+  void SetReload(Reload aReload, std::string aFile);
+
 private:
   bool StartRecording(foundation::Findings& aFindings);
-  void OnSignal();
+  ControlInterface MakeInterface();
+  void Adopt(wire::NumberedConfiguration aConfiguration,
+             const std::function<void(AdoptionAnswer)>& aDone);
+  void OnSignal(int aSignal);
+  void ReloadSettings();
+  void WatchFile();
   void ExportGauges();
   void StartDraining();
   void OnDrainTick();
@@ -40,6 +56,9 @@
                      foundation::Findings& aFindings);
 
   settings::DaemonSettings settings_;
+  Ports ports_;
+  Reload reload_;
+  std::optional<settings::FileWatch> watch_;
   std::uint64_t boot_;
   foundation::MetricsRegistry registry_;
   traffic::TrafficMetrics metrics_;
@@ -47,13 +66,15 @@
   std::unique_ptr<control::ControlRuntime> control_;
   std::unique_ptr<traffic::TrafficRuntime> traffic_;
   std::unique_ptr<operations::Operations> operations_;
-  http::HttpRouter platformRouter_;
+  http::HttpRouter announceRouter_;
   http::HttpRouter operatorRouter_;
-  std::unique_ptr<http::HttpServer> platformServer_;
+  std::unique_ptr<http::HttpServer> announceServer_;
   std::unique_ptr<http::HttpServer> operatorServer_;
   boost::asio::io_context signals_{ 1 };
   boost::asio::steady_timer drainTimer_{ signals_ };
   boost::asio::steady_timer gaugeTimer_{ signals_ };
+  boost::asio::steady_timer watchTimer_{ signals_ };
+  bool callersStopped_ = false;
   std::atomic<bool> draining_ = false;
   foundation::Instant drainStarted_;
   int exitCode_ = 0;
--- a/apps/wigeonlbd/operations/operations.cpp
+++ b/apps/wigeonlbd/operations/operations.cpp
@@ -187,6 +187,21 @@
     reachable ? leader : "", std::move(aQuestion), std::move(aDone));
 }
 
+void
+Operations::ReadDocument(const DocumentDone& aDone)
+{
+  wire::OperatorQuestion question;
+  question.set_document(true);
+  AskLeader(std::move(question), [aDone](std::optional<Table> aTable) {
+    if (!aTable || aTable->rows_.empty()) {
+      aDone(std::nullopt);
+      return;
+    }
+    const std::vector<std::string>& row = aTable->rows_.front();
+    aDone(ConfigurationDocument{ std::stoull(row[0]), row[1] });
+  });
+}
+
 void
 Operations::OnQuestion(const foundation::HostId& aFrom,
                        const wire::OperatorQuestion& aQuestion)
--- a/apps/wigeonlbd/operations/operations.h
+++ b/apps/wigeonlbd/operations/operations.h
@@ -4,6 +4,7 @@
 #include "http/httprouter.h"
 #include "operations/operatorquestions.h"
 #include "operator/operatorservice.h"
+#include "ports.h"
 #include "traffic/trafficruntime.h"
 
 namespace wigeonlb::daemon::operations {
@@ -20,6 +21,11 @@
 
   void RegisterRoutes(http::HttpRouter& aRouter);
 
+  //! The newest numbered configuration, or nothing when no leader is sure of
+  //! it. Control thread only.
+  using DocumentDone = std::function<void(std::optional<ConfigurationDocument>)>;
+  void ReadDocument(const DocumentDone& aDone);
+
 private:
   using QueryDone = operators::OperatorCallbacks::QueryDone;
   using ChangeDone = operators::OperatorCallbacks::ChangeDone;
--- a/apps/wigeonlbd/operations/tables.cpp
+++ b/apps/wigeonlbd/operations/tables.cpp
@@ -348,6 +348,24 @@
   return table;
 }
 
+namespace {
+
+//! One row: number and text. Empty when this host isn't sure to lead, or there
+//! is no such configuration yet.
+Table
+DocumentTable(const control::ControlRuntime& aControl)
+{
+  Table table{ { "number", "document" }, {} };
+  const wire::ControlState& state = aControl.Member()->Control();
+  if (aControl.Member()->HoldsLease() && state.document_number() != 0) {
+    table.rows_.push_back(
+      { std::to_string(state.document_number()), state.document() });
+  }
+  return table;
+}
+
+} // namespace
+
 bool
 IsLeader(const control::ControlRuntime& aControl)
 {
@@ -365,6 +383,8 @@
       return InForceTable(aControl);
     case wire::OperatorQuestion::kWhyGroup:
       return WhyTable(aControl, aQuestion.why_group());
+    case wire::OperatorQuestion::kDocument:
+      return DocumentTable(aControl);
     case wire::OperatorQuestion::kExplainRead: // for an owner, not the leader
     case wire::OperatorQuestion::KIND_NOT_SET:
       return {};
--- a/apps/wigeonlbd/settings/daemonsettings.cpp
+++ b/apps/wigeonlbd/settings/daemonsettings.cpp
@@ -146,12 +146,124 @@
   }
 }
 
+//! Empty for a host that takes no callers.
+void
+ReadCallerAddress(std::string_view aText,
+                  std::string_view aPlace,
+                  DaemonSettings& aSettings,
+                  Findings& aFindings)
+{
+  if (!aText.empty()) {
+    ReadAddress<&DaemonSettings::callerAddress_>(
+      aText, aPlace, aSettings, aFindings);
+  }
+}
+
+void
+ReadPromotionAddress(std::string_view aText,
+                     std::string_view aPlace,
+                     DaemonSettings& aSettings,
+                     Findings& aFindings)
+{
+  ListenAddress address;
+  if (!aText.empty() && !ReadListenAddress(aText, address)) {
+    AddFinding(aFindings,
+               std::string(aPlace),
+               "expected ip:port, not '" + std::string(aText) + "'");
+    return;
+  }
+  aSettings.promotionAddress_ = std::string(aText);
+}
+
+template<auto Member>
+void
+ReadFlag(std::string_view aText,
+         std::string_view aPlace,
+         DaemonSettings& aSettings,
+         Findings& aFindings)
+{
+  if (aText != "on" && aText != "off") {
+    AddFinding(aFindings,
+               std::string(aPlace),
+               "expected on or off, not '" + std::string(aText) + "'");
+    return;
+  }
+  aSettings.*Member = aText == "on";
+}
+
+//! Time that is left for what a stop does behind the drain.
+constexpr foundation::Duration kStopMarginMs = std::chrono::milliseconds(500);
+
+//! Takes the place of the drain deadline.
+void
+ReadGrace(std::string_view aText,
+          std::string_view aPlace,
+          DaemonSettings& aSettings,
+          Findings& aFindings)
+{
+  if (aText.empty()) {
+    return;
+  }
+  constexpr double kLongestSeconds = 3600;
+  double seconds = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, seconds);
+  if (result.ec != std::errc() || result.ptr != end || seconds <= 0 ||
+      seconds > kLongestSeconds) {
+    AddFinding(aFindings,
+               std::string(aPlace),
+               "expected seconds from 0 to 3600, not '" + std::string(aText) +
+                 "'");
+    return;
+  }
+  const auto grace = std::chrono::duration_cast<foundation::Duration>(
+    std::chrono::duration<double>(seconds));
+  aSettings.drainDeadline_ =
+    std::max(grace - kStopMarginMs, foundation::Duration::zero());
+}
+
+void
+ReadSeeds(std::string_view aText,
+          std::string_view aPlace,
+          DaemonSettings& aSettings,
+          Findings& aFindings)
+{
+  while (!aText.empty()) {
+    const std::size_t comma = std::min(aText.find(','), aText.size());
+    const std::string_view item = aText.substr(0, comma);
+    aText.remove_prefix(std::min(comma + 1, aText.size()));
+    ListenAddress address;
+    if (!ReadListenAddress(item, address)) {
+      AddFinding(aFindings,
+                 std::string(aPlace),
+                 "expected ip:port, not '" + std::string(item) + "'");
+      continue;
+    }
+    aSettings.controlSeeds_.push_back(address);
+  }
+}
+
+//! The seeds as control members: a host's name is its IP number there, and peer
+//! links listen at the same port on all hosts.
+void
+TakeSeeds(DaemonSettings& aSettings)
+{
+  for (const ListenAddress& seed : aSettings.controlSeeds_) {
+    const std::string address =
+      seed.ip_ + ":" + std::to_string(aSettings.peerAddress_.port_);
+    aSettings.controlMembers_.push_back({ seed.ip_, address });
+  }
+}
+
 void
 ReadMembers(std::string_view aText,
             std::string_view aPlace,
             DaemonSettings& aSettings,
             Findings& aFindings)
 {
+  if (aText.empty() && !aSettings.controlSeeds_.empty()) {
+    return;
+  }
   std::set<std::string, std::less<>> seen;
   const std::string place(aPlace);
   const std::size_t findingsBefore = aFindings.size();
@@ -196,6 +308,16 @@
   aSettings.dataFolder_ = std::string(aText);
 }
 
+void
+ReadHolder(std::string_view aText,
+           std::string_view /*aPlace*/,
+           DaemonSettings& aSettings,
+           Findings& /*aFindings*/)
+{
+  aSettings.promotionHolder_ =
+    aText.empty() ? aSettings.hostId_ : std::string(aText);
+}
+
 void
 ReadTraceFile(std::string_view aText,
               std::string_view aPlace,
@@ -248,20 +370,20 @@
     "WIGEONLB_CALLER_ADDRESS",
     "0.0.0.0:6432",
     "ip:port",
-    "where callers connect",
-    ReadAddress<&S::callerAddress_> },
+    "where callers connect; empty: this host takes none",
+    ReadCallerAddress },
   { "operator-address",
     "WIGEONLB_OPERATOR_ADDRESS",
     "127.0.0.1:7070",
     "ip:port",
     "where wigeonctl connects, and /metrics is read",
     ReadAddress<&S::operatorAddress_> },
-  { "platform-address",
-    "WIGEONLB_PLATFORM_ADDRESS",
+  { "announce-address",
+    "WIGEONLB_ANNOUNCE_ADDRESS",
     "0.0.0.0:7080",
     "ip:port",
     "where the balancer reads /healthz and targets announce themselves",
-    ReadAddress<&S::platformAddress_> },
+    ReadAddress<&S::announceAddress_> },
   { "peer-address",
     "WIGEONLB_PEER_ADDRESS",
     "",
@@ -274,6 +396,26 @@
     "ip:port",
     "what other hosts are told to connect to; the peer address when empty",
     ReadAnnouncedAddress },
+  { "control-seeds",
+    "WIGEONLB_CONTROL_SEEDS",
+    "",
+    "ip:port,...",
+    "in place of control-members: hosts that may be members or know them; a "
+    "host's id is then its IP number, and peer links have one port everywhere",
+    ReadSeeds },
+  { "founding",
+    "WIGEONLB_FOUNDING",
+    "off",
+    "",
+    "on at the very first start only: the seeds found the system",
+    ReadFlag<&S::founding_> },
+  { "tolerated-losses",
+    "WIGEONLB_TOLERATED_LOSSES",
+    "1",
+    "disks",
+    "with control-seeds: disks that may be lost at once; sets the number of "
+    "control members",
+    ReadCount<&S::toleratedLosses_, 0, 3> },
   { "control-members",
     "WIGEONLB_CONTROL_MEMBERS",
     "",
@@ -334,6 +476,32 @@
     "ms",
     "longest time for a graceful stop",
     ReadMilliseconds<&S::drainDeadline_, 0, 3'600'000> },
+  { "grace-s",
+    "WIGEONLB_GRACE_S",
+    "",
+    "s",
+    "time from the stop signal until the process is killed; sets the drain "
+    "deadline a little below it",
+    ReadGrace },
+  { "balancer-notice-ms",
+    "WIGEONLB_BALANCER_NOTICE_MS",
+    "0",
+    "ms",
+    "after a stop signal new callers are taken for this long, until the "
+    "balancer has noticed",
+    ReadMilliseconds<&S::balancerNotice_, 0, 60'000> },
+  { "promotion-address",
+    "WIGEONLB_PROMOTION_ADDRESS",
+    "",
+    "ip:port",
+    "where promotions are ordered, if not from the targets themselves",
+    ReadPromotionAddress },
+  { "promotion-holder",
+    "WIGEONLB_PROMOTION_HOLDER",
+    "",
+    "",
+    "this host's name in such orders; the host id when empty",
+    ReadHolder },
   { "heartbeat-interval-ms",
     "WIGEONLB_HEARTBEAT_INTERVAL_MS",
     "250",
@@ -363,7 +531,8 @@
 void
 CheckTogether(const DaemonSettings& aSettings, Findings& aFindings)
 {
-  if (IsControlMember(aSettings) && aSettings.dataFolder_.empty()) {
+  if (aSettings.controlSeeds_.empty() && IsControlMember(aSettings) &&
+      aSettings.dataFolder_.empty()) {
     AddFinding(
       aFindings, "--data-folder", "a control member needs a data folder");
   }
@@ -380,7 +549,8 @@
 DaemonSettings
 ReadSettings(const GivenTexts& aFlags,
              const GivenTexts& aVariables,
-             foundation::Findings& aFindings)
+             foundation::Findings& aFindings,
+             const FileTexts& aFile)
 {
   DaemonSettings settings;
   for (const SettingRow& row : kRows) {
@@ -392,9 +562,13 @@
                variable != aVariables.end()) {
       text = variable->second;
       place = std::string(row.variable_);
+    } else if (const auto line = aFile.find(row.flag_); line != aFile.end()) {
+      text = line->second.text_;
+      place = line->second.place_;
     }
     row.read_(text, place, settings, aFindings);
   }
+  TakeSeeds(settings);
   CheckTogether(settings, aFindings);
   return settings;
 }
@@ -415,9 +589,14 @@
   std::string page =
     "# Settings of wigeonlbd\n\n"
     "Made by `wigeonlbd --settings-page`; a test checks that it is current.\n"
-    "Each setting is a flag or an environment variable; the flag wins. All\n"
-    "are checked at the start, before anything is opened; findings are\n"
-    "reported together and end the process with exit code 2.\n\n"
+    "Each setting is a flag, an environment variable or a line of the settings\n"
+    "file, in this order. The file is TOML, with the flags' names as keys; it is\n"
+    "named by `--settings-file` or `WIGEONLB_SETTINGS_FILE`, and read again at\n"
+    "SIGHUP and when it has changed: then the log level and the control seeds\n"
+    "are taken over, the rest at the next start. All settings are checked before\n"
+    "anything is opened; findings are reported together and end the process with\n"
+    "exit code 2. A file with findings at a later reading changes nothing, and\n"
+    "a log line says so.\n\n"
     "| flag | variable | default | unit | meaning |\n"
     "|---|---|---|---|---|\n";
   for (const SettingRow& row : kRows) {
--- a/apps/wigeonlbd/settings/daemonsettings.h
+++ b/apps/wigeonlbd/settings/daemonsettings.h
@@ -35,10 +35,16 @@
   foundation::DataCentre dataCentre_;
   ListenAddress callerAddress_;
   ListenAddress operatorAddress_;
-  ListenAddress platformAddress_;
+  ListenAddress announceAddress_;
   ListenAddress peerAddress_;
   std::string peerAnnouncedAddress_; //!< `ip:port`
   std::vector<ControlMember> controlMembers_;
+  //! Addresses of hosts that may be control members; they take the place of
+  //! controlMembers_, by IP number.
+  std::vector<ListenAddress> controlSeeds_;
+  //! The seeds found the system if none of them has a past.
+  bool founding_ = false;
+  std::size_t toleratedLosses_ = 0; //!< disks lost at once
   std::string dataFolder_; //!< empty: none, and never a control member
   std::string targetUser_;
   std::size_t trafficThreads_ = 0;
@@ -48,6 +54,9 @@
   foundation::Duration startupTimeout_{ 0 };
   foundation::Duration statementDeadline_{ 0 };
   foundation::Duration drainDeadline_{ 0 };
+  foundation::Duration balancerNotice_{ 0 };
+  std::string promotionAddress_; //!< `ip:port`; empty: none
+  std::string promotionHolder_;
   foundation::Duration heartbeatInterval_{ 0 };
   std::string logLevel_;
   std::string traceFile_;      //!< empty: no trace is recorded
@@ -77,13 +86,36 @@
 //! Texts by flag name, as they were given.
 using GivenTexts = std::map<std::string, std::string, std::less<>>;
 
+//! A text from a settings file.
+struct FileText
+{
+  std::string text_;
+  std::string place_; //!< `file:line:column`
+};
+using FileTexts = std::map<std::string, FileText, std::less<>>;
+
 //! Checks all settings. A text comes from the flag, else from the variable,
-//! else from the row's default. Every finding names the flag or the variable
-//! that it came from.
+//! else from the file, else from the row's default. Every finding names the
+//! flag, the variable or the place in the file that it came from.
 DaemonSettings
 ReadSettings(const GivenTexts& aFlags,
              const GivenTexts& aVariables,
-             foundation::Findings& aFindings);
+             foundation::Findings& aFindings,
+             const FileTexts& aFile = {});
+
+//! True when the host takes callers.
+inline bool
+TakesCallers(const DaemonSettings& aSettings)
+{
+  return !aSettings.callerAddress_.ip_.empty();
+}
+
+//! True when the host has a disk and may become a control member later.
+inline bool
+MayJoin(const DaemonSettings& aSettings)
+{
+  return !aSettings.controlSeeds_.empty() && !aSettings.dataFolder_.empty();
+}
 
 //! True when the host is one of the control members.
 bool
--- /dev/null
+++ b/apps/wigeonlbd/settings/settingsfile.cpp
@@ -0,0 +1,112 @@
+#include "settings/settingsfile.h"
+
+#include <algorithm>
+#include <optional>
+#include <sstream>
+
+#include <sys/stat.h>
+#include <toml++/toml.h>
+
+namespace wigeonlb::daemon::settings {
+
+namespace {
+
+std::string
+PlaceOf(const std::string& aPath, const toml::source_region& aRegion)
+{
+  return aPath + ":" + std::to_string(aRegion.begin.line) + ":" +
+         std::to_string(aRegion.begin.column);
+}
+
+bool
+IsSetting(std::string_view aName)
+{
+  return std::ranges::any_of(SettingRows(), [&](const SettingRow& aRow) {
+    return aRow.flag_ == aName;
+  });
+}
+
+//! The value as a flag's text; nothing for a table, a list or a date.
+std::optional<std::string>
+TextOf(const toml::node& aNode)
+{
+  if (const auto text = aNode.value_exact<std::string>()) {
+    return text;
+  }
+  if (const auto flag = aNode.value_exact<bool>()) {
+    return *flag ? "on" : "off";
+  }
+  if (const auto number = aNode.value_exact<std::int64_t>()) {
+    return std::to_string(*number);
+  }
+  if (const auto number = aNode.value_exact<double>()) {
+    std::ostringstream text;
+    text << *number;
+    return text.str();
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+FileTexts
+ReadSettingsFile(const std::string& aPath, foundation::Findings& aFindings)
+{
+  FileTexts texts;
+  toml::table table;
+  try {
+    table = toml::parse_file(aPath);
+  } catch (const toml::parse_error& error) {
+    foundation::AddFinding(aFindings,
+                           PlaceOf(aPath, error.source()),
+                           std::string(error.description()));
+    return texts;
+  }
+  for (const auto& [key, node] : table) {
+    const std::string name(key.str());
+    const std::string place = PlaceOf(aPath, node.source());
+    const auto text = TextOf(node);
+    if (!IsSetting(name)) {
+      foundation::AddFinding(aFindings, place, "unknown setting '" + name + "'");
+    } else if (!text) {
+      foundation::AddFinding(
+        aFindings, place, name + ": expected a text, a number or a flag");
+    } else {
+      texts[name] = { *text, place };
+    }
+  }
+  return texts;
+}
+
+FileWatch::FileWatch(std::string aPath)
+  : path_(std::move(aPath))
+  , stamp_(Read())
+{
+}
+
+FileWatch::Stamp
+FileWatch::Read() const
+{
+  struct stat found
+  {};
+  if (path_.empty() || ::stat(path_.c_str(), &found) != 0) {
+    return {};
+  }
+  return { found.st_mtim.tv_sec,
+           found.st_mtim.tv_nsec,
+           found.st_size,
+           found.st_ino };
+}
+
+bool
+FileWatch::HasChanged()
+{
+  const Stamp now = Read();
+  if (now == stamp_) {
+    return false;
+  }
+  stamp_ = now;
+  return true;
+}
+
+} // namespace wigeonlb::daemon::settings
--- a/apps/wigeonlbd/tests/daemonsettings_tests.cpp
+++ b/apps/wigeonlbd/tests/daemonsettings_tests.cpp
@@ -44,7 +44,7 @@
     { "caller-address", "localhost:6432" },
     { "caller-address", "127.0.0.1" },
     { "operator-address", "127.0.0.1:70000" },
-    { "platform-address", "" },
+    { "announce-address", "" },
     { "peer-address", "" },
     { "peer-announced-address", "host:1" },
     { "control-members", "" },
@@ -80,7 +80,7 @@
   const GivenTexts variables = {
     { "WIGEONLB_HOST_ID", "a b" },        { "WIGEONLB_DATA_CENTRE", "" },
     { "WIGEONLB_CALLER_ADDRESS", "x" },   { "WIGEONLB_OPERATOR_ADDRESS", "x" },
-    { "WIGEONLB_PLATFORM_ADDRESS", "x" }, { "WIGEONLB_PEER_ADDRESS", "x" },
+    { "WIGEONLB_ANNOUNCE_ADDRESS", "x" }, { "WIGEONLB_PEER_ADDRESS", "x" },
     { "WIGEONLB_CONTROL_MEMBERS", "" },   { "WIGEONLB_TRAFFIC_THREADS", "x" },
     { "WIGEONLB_MAX_SESSIONS", "x" },     { "WIGEONLB_LOG_LEVEL", "x" },
   };
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -49,11 +49,14 @@
 {
   key_ = aKey;
   tenant_ = aRequest.user_;
-  group_ = aRequest.database_;
+  database_ = aRequest.database_;
+  if (const DatabaseRoute* const database = FindDatabase()) {
+    group_ = database->group_;
+  }
   if (Route() == nullptr) {
     caller_->Refuse({ "FATAL",
                       std::string(sqlstates::kUnknownGroup),
-                      "there is no database group '" + group_ + "'",
+                      "there is no database group '" + database_ + "'",
                       "",
                       "`show groups` lists the groups" });
     return;
@@ -78,13 +81,26 @@
   caller_->AcceptStartup(parameters, key_);
 }
 
+const DatabaseRoute*
+EntrySession::FindDatabase() const
+{
+  if (context_.routes_ == nullptr) {
+    return nullptr;
+  }
+  const auto found = context_.routes_->databases_.find(database_);
+  return found == context_.routes_->databases_.end() ? nullptr : &found->second;
+}
+
 const GroupRoute*
 EntrySession::Route() const
 {
-  if (context_.routes_ == nullptr) {
+  // An open transaction stays with its group whatever becomes of the database.
+  const DatabaseRoute* const database = FindDatabase();
+  if (!InTransaction() && database == nullptr) {
     return nullptr;
   }
-  const auto found = context_.routes_->groups_.find(group_);
+  const auto found = context_.routes_->groups_.find(
+    InTransaction() ? group_ : database->group_);
   return found == context_.routes_->groups_.end() ? nullptr : &found->second;
 }
 
@@ -106,9 +122,12 @@
     AnswerSetting(*verdict.ownSetting_);
     return;
   }
+  if (TakeSessionStep(verdict.sessionStep_)) {
+    return;
+  }
   if (verdict.statements_ == 0) {
     std::string frames;
-    caller::AppendEmptyQueryResponse(frames);
+    context_.protocol_->appendEmpty_(frames);
     caller_->Send(std::move(frames));
     caller_->FinishQuery(status_);
     return;
@@ -121,6 +140,47 @@
   SendRequest(verdict, aSql);
 }
 
+bool
+EntrySession::TakeSessionStep(const core::classification::SessionStep& aStep)
+{
+  using namespace core::classification;
+  const bool failed = status_ == caller::TransactionStatus::Failed;
+  if (std::holds_alternative<std::monostate>(aStep) ||
+      std::holds_alternative<Execute>(aStep)) {
+    return false;
+  }
+  if (failed) {
+    FailLocally({ sqlstates::kFailedTransaction,
+                  "the transaction has failed; end it first" });
+    return true;
+  }
+  if (const auto* value = std::get_if<SetValue>(&aStep)) {
+    values_[value->name_] = value->value_;
+    AnswerDone("SET");
+  } else if (const auto* prepare = std::get_if<Prepare>(&aStep)) {
+    prepared_[prepare->name_] = *prepare;
+    AnswerDone("PREPARE");
+  } else if (const auto* deallocate = std::get_if<Deallocate>(&aStep)) {
+    if (prepared_.erase(deallocate->name_) == 0) {
+      FailLocally({ sqlstates::kUnknownStatement,
+                    "there is no prepared statement '" + deallocate->name_ +
+                      "'" });
+      return true;
+    }
+    AnswerDone("DEALLOCATE");
+  }
+  return true;
+}
+
+void
+EntrySession::AnswerDone(std::string_view aTag)
+{
+  std::string frames;
+  context_.protocol_->appendOwnComplete_(frames, aTag);
+  caller_->Send(std::move(frames));
+  caller_->FinishQuery(status_);
+}
+
 void
 EntrySession::AnswerSetting(const core::classification::OwnSetting& aSetting)
 {
@@ -145,40 +205,30 @@
   const GroupRoute* const route = Route();
   if (route == nullptr) {
     FailLocally({ sqlstates::kUnknownGroup,
-                  "the database group '" + group_ + "' was dropped" });
+                  "the database group '" + database_ + "' was dropped" });
     return;
   }
+  if (!InTransaction()) {
+    group_ = FindDatabase()->group_;
+  }
   const std::uint64_t lastNumber = request_.request();
   request_.Clear();
   request_.set_session(number_);
   request_.set_request(lastNumber);
   request_.set_group(group_);
+  request_.set_database(database_);
   request_.set_tenant(tenant_);
-  request_.set_statement_class(aClass.class_);
-  request_.set_statement(std::string(aSql));
-  request_.set_repeatable(aClass.repeatable_);
+  if (!AddStatement(aClass, aSql)) {
+    return;
+  }
   request_.set_data_centre(context_.dataCentre_);
   if (!InTransaction()) {
     GiveRequestKey(settings_, request_);
   }
-  const foundation::LogPosition floor =
-    core::session::FloorOf(settings_.floors_, group_);
-  request_.mutable_floor()->set_term(floor.term_);
-  request_.mutable_floor()->set_offset(floor.offset_);
-  request_.set_needs_fresh_floor(settings_.needsFreshFloor_ &&
-                                 !InTransaction());
-  const std::optional<Duration> maxAge =
-    settings_.maxAge_ ? settings_.maxAge_ : route->maxAge_;
-  if (maxAge) {
-    request_.set_max_age_us(static_cast<std::uint64_t>(maxAge->count()));
-  }
-  const Duration routeDeadline =
-    IsRead() ? route->readDeadline_ : route->writeDeadline_;
-  const Duration standard = routeDeadline > Duration::zero()
-                              ? routeDeadline
-                              : context_.statementDeadline_;
+  AddReadBounds(*route);
   startedAt_ = SteadyNow();
-  deadlineAt_ = startedAt_ + settings_.deadline_.value_or(standard);
+  deadlineAt_ =
+    startedAt_ + settings_.deadline_.value_or(StatementTime(*route));
   waiting_ = true;
   nextOwner_ = 0;
   refusal_.clear();
@@ -193,6 +243,87 @@
   HandOver();
 }
 
+bool
+EntrySession::AddStatement(const core::classification::Classification& aClass,
+                           std::string_view aSql)
+{
+  request_.set_statement_class(aClass.class_);
+  request_.set_statement(std::string(aSql));
+  request_.set_repeatable(aClass.repeatable_);
+  request_.set_statement_id(caller_->QueryId());
+  for (const auto& [name, value] : values_) {
+    wire::SessionValue& wanted = *request_.add_values();
+    wanted.set_name(name);
+    wanted.set_value(value);
+  }
+  const auto* execute =
+    std::get_if<core::classification::Execute>(&aClass.sessionStep_);
+  if (execute == nullptr) {
+    return true;
+  }
+  const auto found = prepared_.find(execute->name_);
+  if (found == prepared_.end()) {
+    FailLocally({ sqlstates::kUnknownStatement,
+                  "there is no prepared statement '" + execute->name_ + "'" });
+    return false;
+  }
+  const core::classification::Prepare& prepared = found->second;
+  request_.set_statement_class(prepared.class_);
+  request_.set_statement(execute->before_ + prepared.sharedName_ +
+                         execute->behind_);
+  request_.mutable_prepared()->set_name(prepared.sharedName_);
+  request_.mutable_prepared()->set_definition(prepared.definition_);
+  return true;
+}
+
+//! What a read of the session may see, by the policy of its database. Within a
+//! transaction that was settled at its beginning.
+void
+EntrySession::AddReadBounds(const GroupRoute& aRoute)
+{
+  const DatabaseRoute* const database = FindDatabase();
+  const wire::ReadPolicy policy =
+    database == nullptr ? wire::READ_SESSION : database->readPolicy_;
+  if (policy == wire::READ_PRIMARY && !InTransaction()) {
+    if (request_.statement_class() == wire::STATEMENT_READ) {
+      request_.set_statement_class(wire::STATEMENT_PRIMARY_READ);
+    } else if (request_.statement_class() == wire::STATEMENT_BEGIN_READ) {
+      request_.set_statement_class(wire::STATEMENT_BEGIN);
+    }
+    return;
+  }
+  std::optional<Duration> maxAge = settings_.maxAge_;
+  if (!maxAge) {
+    const bool own = database != nullptr && database->maxAge_.has_value();
+    maxAge = own ? database->maxAge_ : aRoute.maxAge_;
+  }
+  if (maxAge) {
+    request_.set_max_age_us(static_cast<std::uint64_t>(maxAge->count()));
+  }
+  if (policy == wire::READ_BOUNDED) {
+    return;
+  }
+  const foundation::LogPosition floor =
+    core::session::FloorOf(settings_.floors_, group_);
+  request_.mutable_floor()->set_term(floor.term_);
+  request_.mutable_floor()->set_offset(floor.offset_);
+  request_.set_needs_fresh_floor(settings_.needsFreshFloor_ &&
+                                 !InTransaction());
+}
+
+Duration
+EntrySession::StatementTime(const GroupRoute& aRoute) const
+{
+  const DatabaseRoute* const database = FindDatabase();
+  if (database != nullptr && database->statementTimeout_ > Duration::zero()) {
+    return database->statementTimeout_;
+  }
+  const Duration routeDeadline =
+    IsRead() ? aRoute.readDeadline_ : aRoute.writeDeadline_;
+  return routeDeadline > Duration::zero() ? routeDeadline
+                                          : context_.statementDeadline_;
+}
+
 bool
 EntrySession::IsRead() const
 {
@@ -324,11 +455,14 @@
     settings_.floors_, group_, { aPosition.term(), aPosition.offset() });
   settings_.needsFreshFloor_ = false;
   std::string token;
+  if (context_.protocol_->appendParameter_ == nullptr) {
+    return; // callers can't take the token along
+  }
   if (!moved || core::session::EncodeToken(settings_.floors_, token)) {
     return;
   }
   std::string frames;
-  caller::AppendParameterStatus(frames, "wigeonlb.session", token);
+  context_.protocol_->appendParameter_(frames, "wigeonlb.session", token);
   caller_->Send(std::move(frames));
 }
 
@@ -341,7 +475,8 @@
       request_.statement_class() == wire::STATEMENT_COMMIT &&
       status_ != caller::TransactionStatus::Failed;
     std::string frames;
-    caller::AppendCommandComplete(frames, committed ? "COMMIT" : "ROLLBACK");
+    context_.protocol_->appendOwnComplete_(frames,
+                                           committed ? "COMMIT" : "ROLLBACK");
     caller_->Send(std::move(frames));
   } else if (!aEnd.target_answered()) {
     const bool notRun = aEnd.outcome() == wire::OUTCOME_NOT_RUN;
@@ -373,12 +508,12 @@
 EntrySession::SendError(const Verdict& aVerdict)
 {
   std::string frames;
-  caller::AppendErrorResponse(frames,
-                              { "ERROR",
-                                std::string(aVerdict.sqlstate_),
-                                aVerdict.message_,
-                                aVerdict.detail_,
-                                "" });
+  context_.protocol_->appendError_(frames,
+                                   { "ERROR",
+                                     std::string(aVerdict.sqlstate_),
+                                     aVerdict.message_,
+                                     aVerdict.detail_,
+                                     "" });
   caller_->Send(std::move(frames));
 }
 
@@ -407,11 +542,24 @@
   }
   // The owner's own verdict did not come: it, or the link to it, is in trouble.
   CloseAt(owner_);
-  GiveUp({ sqlstates::kOutcomeUnknown,
+  GiveUp({ LostSqlstate(),
            "outcome unknown: no answer from host " + owner_ +
              " within the deadline" });
 }
 
+//! Of a request whose owner gives no answer. What only reads, and what runs in
+//! a transaction that is given up with its owner, keeps nothing.
+std::string_view
+EntrySession::LostSqlstate() const
+{
+  const wire::StatementClass kind = request_.statement_class();
+  const bool keepsNothing =
+    InTransaction() ? kind != wire::STATEMENT_COMMIT
+                    : kind != wire::STATEMENT_WRITE;
+  return keepsNothing ? sqlstates::kTransactionLost
+                      : sqlstates::kOutcomeUnknown;
+}
+
 void
 EntrySession::OnHostLost(const foundation::HostId& aHost)
 {
@@ -439,11 +587,12 @@
     HandOver();
     return;
   }
-  if (request_.statement_class() == wire::STATEMENT_BEGIN) {
+  if (request_.statement_class() == wire::STATEMENT_BEGIN ||
+      request_.statement_class() == wire::STATEMENT_BEGIN_READ) {
     HandOver();
     return;
   }
-  GiveUp({ sqlstates::kOutcomeUnknown,
+  GiveUp({ LostSqlstate(),
            "outcome unknown: host " + aHost + " was lost" });
 }
 
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -25,6 +26,7 @@
   foundation::DataCentre dataCentre_;
   foundation::Duration statementDeadline_{ 0 };
   ForwardPort* port_ = nullptr;
+  const caller::Protocol* protocol_ = &caller::PostgresqlProtocol();
   core::classification::ClassificationCache* cache_ = nullptr;
   TrafficMetrics* metrics_ = nullptr;
   RoutingTablePointer routes_;
@@ -58,6 +60,7 @@
 
   const caller::CancelKey& Key() const { return key_; }
   const foundation::GroupName& Group() const { return group_; }
+  const std::string& Database() const { return database_; }
   const foundation::Tenant& TenantName() const { return tenant_; }
   bool InTransaction() const { return !transactionOwner_.empty(); }
   bool Waiting() const { return waiting_; }
@@ -77,9 +80,20 @@
   };
 
   void AnswerSetting(const core::classification::OwnSetting& aSetting);
+  //! What a statement does to the session's state; true when it was answered
+  //! here.
+  bool TakeSessionStep(const core::classification::SessionStep& aStep);
+  void AnswerDone(std::string_view aTag);
   void SendRequest(const core::classification::Classification& aClass,
                    std::string_view aSql);
+  //! Fills in the statement and what its connection must have.
+  bool AddStatement(const core::classification::Classification& aClass,
+                    std::string_view aSql);
+  void AddReadBounds(const GroupRoute& aRoute);
+  const DatabaseRoute* FindDatabase() const;
+  //! The group that the database stands for, or null.
   const GroupRoute* Route() const;
+  foundation::Duration StatementTime(const GroupRoute& aRoute) const;
   void HandOver();
   bool TryOwner(const foundation::HostId& aOwner);
   void OnDeadline();
@@ -93,15 +107,20 @@
   void CloseAt(const foundation::HostId& aOwner);
   foundation::Duration TimeLeft() const;
   bool IsRead() const;
+  std::string_view LostSqlstate() const;
   void Record(wire::Outcome aOutcome, bool aByReplica);
 
   EntryContext& context_;
   boost::intrusive_ptr<caller::CallerSession> caller_;
   std::uint64_t number_;
   caller::CancelKey key_;
+  std::string database_; //!< as the caller named it
+  //! Of the open transaction, or of the statement in progress or last.
   foundation::GroupName group_;
   foundation::Tenant tenant_;
   SessionSettings settings_;
+  std::map<std::string, std::string> values_; //!< that the caller has set
+  std::map<std::string, core::classification::Prepare, std::less<>> prepared_;
 
   // The request in progress, or the last one.
   wire::ForwardRequest request_;
--- a/apps/wigeonlbd/traffic/groupconnection.cpp
+++ b/apps/wigeonlbd/traffic/groupconnection.cpp
@@ -1,7 +1,5 @@
 #include "traffic/groupconnection.h"
 
-#include "caller/frames.h"
-
 namespace wigeonlb::daemon::traffic {
 
 namespace {
@@ -18,12 +16,14 @@
                                  GroupConnectionUser& aUser,
                                  core::traffic::ConnectionId aId,
                                  foundation::TargetName aTarget,
-                                 const target::Dialect& aDialect)
+                                 const target::Dialect& aDialect,
+                                 const OwnerProtocols& aProtocols)
   : user_(aUser)
   , id_(aId)
   , target_(std::move(aTarget))
   , dialect_(aDialect)
-  , connection_(new target::TargetConnection(aContext, *this))
+  , callers_(*aProtocols.callers_)
+  , connection_(aProtocols.targets_->connect_(aContext, *this))
 {
 }
 
@@ -68,38 +68,40 @@
 {
   Begin(Task::Status);
   dropped_ = true;
-  std::string message(dialect_.statusStatement_);
+  std::vector<target::Query> queries{ { std::string(
+    dialect_.statusStatement_) } };
   if (!aFollowing.empty()) {
-    message += "; " + aFollowing;
+    queries.push_back({ aFollowing });
   }
-  return connection_->Send(message);
+  return connection_->Send(queries);
 }
 
 bool
 GroupConnection::Run(const core::traffic::RequestId& aRequest,
-                     const std::string& aStatement,
+                     const wire::ForwardRequest& aStatement,
                      const Preamble& aPreamble)
 {
   request_ = aRequest;
   Begin(aPreamble.probe_ ? Task::StatementWithProbe : Task::Statement);
   if (aPreamble.keyed_) {
-    return RunKeyed(*aPreamble.keyed_, aStatement);
+    return RunKeyed(*aPreamble.keyed_, aStatement.statement());
   }
-  std::string message;
-  if (aPreamble.readOnly_) {
-    settings_ = 1;
-    message = "SET TRANSACTION READ ONLY; ";
+  std::vector<target::Query> queries =
+    FitConnection(state_, aStatement, dialect_);
+  if (aPreamble.readOnly_ && !dialect_.readOnlyStatement_.empty()) {
+    queries.push_back({ std::string(dialect_.readOnlyStatement_) });
   }
   if (aPreamble.asksWrote_ && !dialect_.wroteStatement_.empty()) {
-    ++settings_;
-    message += dialect_.wroteStatement_;
-    message += "; ";
+    queries.push_back({ std::string(dialect_.wroteStatement_) });
   }
+  settings_ = queries.size();
   if (aPreamble.probe_) {
-    message += dialect_.statusStatement_;
-    message += "; ";
+    queries.push_back({ std::string(dialect_.statusStatement_) });
   }
-  return connection_->Send(message + aStatement);
+  queries.push_back({ target::FloorPrefix(dialect_, aPreamble.floor_) +
+                        aStatement.statement(),
+                      aStatement.statement_id() });
+  return connection_->Send(queries);
 }
 
 bool
@@ -107,7 +109,8 @@
                           const std::string& aStatement)
 {
   keyed_ = KeyedRun{ aRequest };
-  return connection_->Send(FirstMessage(aRequest, aStatement));
+  const target::Query query{ FirstMessage(aRequest, aStatement) };
+  return connection_->Send({ &query, 1 });
 }
 
 //! Sends the next message of a keyed request. Returns false at its end.
@@ -116,7 +119,8 @@
 {
   const std::string message = NextMessage(*keyed_, error_.sqlstate_, aStatus);
   if (!message.empty()) {
-    connection_->Send(message);
+    const target::Query query{ message };
+    connection_->Send({ &query, 1 });
     return true;
   }
   if (auto end = EndOf(*keyed_)) {
@@ -212,7 +216,7 @@
     columns.push_back(caller::ColumnDescription{
       column.name_, column.typeOid_, column.typeSize_, column.typeModifier_ });
   }
-  caller::AppendRowDescription(frames_, columns);
+  callers_.appendColumns_(frames_, columns);
 }
 
 void
@@ -233,13 +237,14 @@
     return;
   }
   if (IsOwnResult(aIndex)) {
+    //! NOTE Of the own statements only the question has rows.
     wrote_ = !aRow.empty() && aRow[0] && *aRow[0] == "t";
     return;
   }
   if (dropped_) {
     return;
   }
-  caller::AppendDataRow(frames_, aRow);
+  callers_.appendRow_(frames_, aRow);
   PassOn(kPieceBytes);
 }
 
@@ -266,9 +271,9 @@
   }
   ReleaseHeldEnd();
   if (aTag.empty()) {
-    caller::AppendEmptyQueryResponse(heldEnd_);
+    callers_.appendEmpty_(heldEnd_);
   } else {
-    caller::AppendCommandComplete(heldEnd_, aTag);
+    callers_.appendComplete_(heldEnd_, aTag);
   }
 }
 
@@ -291,7 +296,7 @@
     heldEnd_.clear(); // the statement's completion, which is now void
   }
   ReleaseHeldEnd();
-  caller::AppendErrorResponse(
+  callers_.appendError_(
     heldEnd_,
     caller::ErrorFields{ aError.severity_.empty() ? "ERROR" : aError.severity_,
                          aError.sqlstate_,
@@ -301,7 +306,10 @@
 }
 
 void
-GroupConnection::OnIdle(target::TargetConnection& /*aConnection*/, char aStatus)
+GroupConnection::OnIdle(
+  target::TargetConnection& /*aConnection*/,
+  char aStatus,
+  const std::optional<foundation::LogPosition>& aPosition)
 {
   if (keyed_ && ContinueKeyed(aStatus)) {
     return;
@@ -309,6 +317,9 @@
   const Task done = task_;
   task_ = Task::None;
   if (done == Task::Status) {
+    if (aPosition) {
+      status_->set_applied_offset(aPosition->offset_);
+    }
     user_.OnStatusRead(*this, *status_);
     return;
   }
@@ -318,7 +329,8 @@
     heldEnd_.swap(frames_);
     frames_.clear();
   }
-  user_.OnStatementEnd(*this, error_, aStatus, std::move(heldEnd_));
+  user_.OnStatementEnd(
+    *this, error_, aStatus, aPosition, std::move(heldEnd_));
 }
 
 //! What was held back as the end of the answer was not its end.
--- a/apps/wigeonlbd/traffic/groupconnection.h
+++ b/apps/wigeonlbd/traffic/groupconnection.h
@@ -4,9 +4,11 @@
 #include <string>
 #include <vector>
 
+#include "caller/protocol.h"
 #include "core/traffic/events.h"
 #include "foundation/identifiers.h"
 #include "target/targetconnection.h"
+#include "traffic/connectionstate.h"
 #include "traffic/keyedrequest.h"
 
 namespace wigeonlb::daemon::traffic {
@@ -31,10 +33,20 @@
   virtual void OnFrames(GroupConnection& aConnection, std::string aFrames) = 0;
   //! The answer is whole. aHeldEnd holds the frames that were held back: the
   //! last rows, and the last command's completion or the target's error.
-  virtual void OnStatementEnd(GroupConnection& aConnection,
-                              const target::SqlError& aError,
-                              char aTransactionStatus,
-                              std::string aHeldEnd) = 0;
+  //! aPosition is where the target's log ends, if it told.
+  virtual void OnStatementEnd(
+    GroupConnection& aConnection,
+    const target::SqlError& aError,
+    char aTransactionStatus,
+    const std::optional<foundation::LogPosition>& aPosition,
+    std::string aHeldEnd) = 0;
+};
+
+//! The protocols on both sides of an owner.
+struct OwnerProtocols
+{
+  const caller::Protocol* callers_ = &caller::PostgresqlProtocol();
+  const target::Protocol* targets_ = &target::PostgresqlProtocol();
 };
 
 //! A connection to one target of a group: runs callers' statements with or
@@ -56,7 +68,8 @@
                   GroupConnectionUser& aUser,
                   core::traffic::ConnectionId aId,
                   foundation::TargetName aTarget,
-                  const target::Dialect& aDialect);
+                  const target::Dialect& aDialect,
+                  const OwnerProtocols& aProtocols);
   ~GroupConnection() override;
 
   void Open(const target::TargetAddress& aAddress,
@@ -79,11 +92,13 @@
     bool asksWrote_ = false;
     //! The request has a key; it then has nothing else in front of it.
     std::optional<KeyedRequest> keyed_ = std::nullopt;
+    //! The target refuses the statement unless its log has this.
+    foundation::LogPosition floor_ = {};
   };
 
   //! Runs a caller's statement.
   bool Run(const core::traffic::RequestId& aRequest,
-           const std::string& aStatement,
+           const wire::ForwardRequest& aStatement,
            const Preamble& aPreamble);
 
   //! Passes the rows on, those held back first.
@@ -126,7 +141,9 @@
                   std::string_view aTag) override;
   void OnSqlError(target::TargetConnection& aConnection,
                   const target::SqlError& aError) override;
-  void OnIdle(target::TargetConnection& aConnection, char aStatus) override;
+  void OnIdle(target::TargetConnection& aConnection,
+              char aStatus,
+              const std::optional<foundation::LogPosition>& aPosition) override;
 
   bool IsStatusResult(std::size_t aIndex) const;
   //! A result of what stands in front of the caller's statement.
@@ -142,6 +159,8 @@
   core::traffic::ConnectionId id_;
   foundation::TargetName target_;
   const target::Dialect& dialect_;
+  const caller::Protocol& callers_;
+  ConnectionState state_;
   target::TargetConnectionPointer connection_;
   Task task_ = Task::None;
   std::size_t settings_ = 0; //!< results in front of the status
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -18,6 +18,22 @@
 //! connection is not read.
 constexpr std::uint64_t kWindowBytes = std::uint64_t{ 1 } << 20U;
 
+core_traffic::Refusal
+ToRefusal(target::Refusal aRefusal)
+{
+  switch (aRefusal) {
+    case target::Refusal::Busy:
+      return core_traffic::Refusal::Busy;
+    case target::Refusal::ReadOnly:
+      return core_traffic::Refusal::ReadOnly;
+    case target::Refusal::Behind:
+      return core_traffic::Refusal::Behind;
+    case target::Refusal::None:
+      break;
+  }
+  return core_traffic::Refusal::None;
+}
+
 } // namespace
 
 OwnerGroup::OwnerGroup(boost::asio::io_context& aContext,
@@ -217,6 +233,7 @@
 OwnerGroup::OnStatementEnd(GroupConnection& aConnection,
                            const target::SqlError& aError,
                            char aTransactionStatus,
+                           const std::optional<foundation::LogPosition>& aPosition,
                            std::string aHeldEnd)
 {
   OwnedSession* const session = sessions_.Find(aConnection.Request().session_);
@@ -229,7 +246,9 @@
                                         aTransactionStatus,
                                         aConnection.PassedRows(),
                                         aConnection.Wrote(),
-                                        aConnection.AlreadyDone() });
+                                        aConnection.AlreadyDone(),
+                                        aPosition,
+                                        ToRefusal(aError.refusal_) });
 }
 
 void
@@ -284,12 +303,8 @@
 OwnerGroup::Execute(const core_traffic::OpenConnection& aAction)
 {
   ConnectionPointer connection =
-    std::make_unique<GroupConnection>(context_,
-                                      *this,
-                                      aAction.connection_,
-                                      aAction.target_,
-                                      DialectOf(aAction.target_));
-  connection->Open({ aAction.address_, settings_.group_, settings_.login_ },
+    MakeConnection(aAction.connection_, aAction.target_);
+  connection->Open(AddressOf(aAction.target_, aAction.address_),
                    kOpenTimeoutMs);
   connections_.emplace(aAction.connection_, std::move(connection));
 }
@@ -317,11 +332,12 @@
   }
   session->heldEnd_.clear();
   connection->Run(aAction.request_,
-                  session->request_.statement(),
+                  session->request_,
                   { aAction.withProbe_,
                     aAction.readOnly_,
                     aAction.asksWrote_,
-                    KeyedRequestOf(session->request_, connection->Target()) });
+                    KeyedRequestOf(session->request_, connection->Target()),
+                    aAction.floor_ });
 }
 
 std::optional<KeyedRequest>
@@ -382,10 +398,9 @@
   if (probe.connection_ != nullptr) {
     Retire(std::move(probe.connection_));
   }
-  probe.connection_ = std::make_unique<GroupConnection>(
-    context_, *this, 0, aAction.target_, DialectOf(aAction.target_));
-  probe.connection_->Open(
-    { aAction.address_, settings_.group_, settings_.login_ }, kOpenTimeoutMs);
+  probe.connection_ = MakeConnection(0, aAction.target_);
+  probe.connection_->Open(AddressOf(aAction.target_, aAction.address_),
+                          kOpenTimeoutMs);
 }
 
 void
@@ -438,6 +453,31 @@
   return found == connections_.end() ? nullptr : found->second.get();
 }
 
+OwnerGroup::ConnectionPointer
+OwnerGroup::MakeConnection(core_traffic::ConnectionId aId,
+                           const foundation::TargetName& aTarget)
+{
+  return std::make_unique<GroupConnection>(context_,
+                                           *this,
+                                           aId,
+                                           aTarget,
+                                           DialectOf(aTarget),
+                                           settings_.protocols_);
+}
+
+target::TargetAddress
+OwnerGroup::AddressOf(const foundation::TargetName& aTarget,
+                      const std::string& aAddress) const
+{
+  const wire::TargetState* const target =
+    core::configuration::FindTarget(group_, aTarget);
+  return { aAddress,
+           settings_.group_,
+           settings_.login_,
+           aTarget,
+           target == nullptr ? 0 : target->incarnation() };
+}
+
 //! Destroys a connection once none of its methods is on the stack.
 void
 OwnerGroup::Retire(ConnectionPointer aConnection)
@@ -490,9 +530,8 @@
 {
   const wire::TargetState* const target =
     core::configuration::FindTarget(group_, aTarget);
-  const target::Dialect* dialect =
-    target::FindDialect(target == nullptr ? "" : target->dialect());
-  return dialect == nullptr ? target::Dialects().front() : *dialect;
+  return settings_.protocols_.targets_->dialect_(
+    target == nullptr ? "" : target->dialect());
 }
 
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -37,6 +37,7 @@
 {
   foundation::GroupName group_;
   target::Login login_;
+  OwnerProtocols protocols_;
   core::traffic::Settings traffic_;
   recording::TraceRecorder* trace_ = nullptr; //!< none: nothing is recorded
 };
@@ -94,6 +95,7 @@
   void OnStatementEnd(GroupConnection& aConnection,
                       const target::SqlError& aError,
                       char aTransactionStatus,
+                      const std::optional<foundation::LogPosition>& aPosition,
                       std::string aHeldEnd) override;
 
   void Feed(core::traffic::TrafficEvent aEvent);
@@ -111,7 +113,7 @@
   void Execute(const core::traffic::Released& aAction);
 
   GroupConnection* FindConnection(core::traffic::ConnectionId aId);
-  GroupConnection* MakeConnection(core::traffic::ConnectionId aId,
+  ConnectionPointer MakeConnection(core::traffic::ConnectionId aId,
                                   const foundation::TargetName& aTarget);
   void Retire(ConnectionPointer aConnection);
   void SendFrames(OwnedSession& aSession, std::string aFrames);
@@ -120,6 +122,8 @@
     const wire::ForwardRequest& aRequest,
     const foundation::TargetName& aTarget) const;
   const target::Dialect& DialectOf(const foundation::TargetName& aTarget) const;
+  target::TargetAddress AddressOf(const foundation::TargetName& aTarget,
+                                  const std::string& aAddress) const;
 
   boost::asio::io_context& context_;
   OwnerGroupSettings settings_;
--- a/apps/wigeonlbd/traffic/routingtable.h
+++ b/apps/wigeonlbd/traffic/routingtable.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "control.pb.h"
 #include "foundation/clock.h"
 #include "foundation/identifiers.h"
 
@@ -25,11 +26,26 @@
   bool requestKeys_ = false;
 };
 
-//! Every group that callers may name. Immutable once published.
+//! A name that callers may connect to.
+struct DatabaseRoute
+{
+  foundation::GroupName group_;
+  wire::ReadPolicy readPolicy_ = wire::READ_SESSION;
+  //! Bound on the age of reads; the group's own when empty.
+  std::optional<foundation::Duration> maxAge_;
+  //! Longest time for one statement; zero: the group's deadlines.
+  foundation::Duration statementTimeout_{ 0 };
+  foundation::Duration aim_{ 0 }; //!< for a whole operation; zero: none
+  std::uint32_t priority_ = 0;    //!< 0 is the highest
+};
+
+//! Every database and group that callers may name. Immutable once published.
+//! NOTE Without databases of their own, groups are named directly.
 struct RoutingTable
 {
   foundation::Revision revision_ = 0;
   std::map<foundation::GroupName, GroupRoute, std::less<>> groups_;
+  std::map<std::string, DatabaseRoute, std::less<>> databases_;
 };
 
 using RoutingTablePointer = std::shared_ptr<const RoutingTable>;
--- a/apps/wigeonlbd/traffic/trafficruntime.cpp
+++ b/apps/wigeonlbd/traffic/trafficruntime.cpp
@@ -8,11 +8,14 @@
 TrafficRuntime::TrafficRuntime(const settings::DaemonSettings& aSettings,
                                std::uint64_t aBoot,
                                TrafficMetrics& aMetrics,
+                               const OwnerProtocols& aProtocols,
+                               core::classification::Classifier aClassify,
                                TrafficCallbacks aCallbacks)
   : host_(aSettings.hostId_)
   , boot_(aBoot)
   , callbacks_(std::move(aCallbacks))
   , arena_(static_cast<int>(aSettings.trafficThreads_), 0)
+  , takesCallers_(settings::TakesCallers(aSettings))
 {
   ShardSettings shard;
   shard.entry_.host_ = aSettings.hostId_;
@@ -24,6 +27,8 @@
   shard.cachedStatements_ = aSettings.cachedStatements_;
   shard.login_ = { aSettings.targetUser_,
                    target::ApplicationName(aSettings.hostId_, aBoot) };
+  shard.protocols_ = aProtocols;
+  shard.classify_ = aClassify;
   shard.seed_ = aBoot;
   shard.trace_ = callbacks_.trace_;
 
@@ -45,6 +50,7 @@
   options.address_ = aSettings.callerAddress_.ip_;
   options.port_ = aSettings.callerAddress_.port_;
   options.maxSessions_ = aSettings.maxSessions_;
+  options.session_.protocol_ = aProtocols.callers_;
   options.session_.startupTimeout_ = aSettings.startupTimeout_;
   options.session_.maxMessageBytes_ = aSettings.maxMessageBytes_;
   server_ = std::make_unique<caller::CallerServer>(workers, options);
@@ -58,7 +64,9 @@
 std::error_code
 TrafficRuntime::Start()
 {
-  if (const std::error_code error = server_->Listen()) {
+  const std::error_code error =
+    takesCallers_ ? server_->Listen() : std::error_code();
+  if (error) {
     return error;
   }
   running_ = true;
--- a/apps/wigeonlbd/traffic/trafficruntime.h
+++ b/apps/wigeonlbd/traffic/trafficruntime.h
@@ -44,6 +44,8 @@
   TrafficRuntime(const settings::DaemonSettings& aSettings,
                  std::uint64_t aBoot,
                  TrafficMetrics& aMetrics,
+                 const OwnerProtocols& aProtocols,
+                 core::classification::Classifier aClassify,
                  TrafficCallbacks aCallbacks);
   ~TrafficRuntime() noexcept override;
 
@@ -115,6 +117,7 @@
   tbb::task_arena arena_;
   tbb::task_group tasks_;
   bool running_ = false;
+  bool takesCallers_ = true;
 };
 
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -33,11 +33,14 @@
   , index_(aIndex)
   , settings_(std::move(aSettings))
   , listener_(aListener)
-  , cache_(settings_.cachedStatements_, kCachedStatementBytes)
+  , cache_(settings_.cachedStatements_,
+           kCachedStatementBytes,
+           settings_.classify_)
   , entry_(settings_.entry_)
   , sweepTimer_(aContext)
 {
   entry_.cache_ = &cache_;
+  entry_.protocol_ = settings_.protocols_.callers_;
 }
 
 TrafficShard::~TrafficShard() = default;
@@ -236,6 +239,8 @@
     OwnerGroupSettings settings;
     settings.group_ = aGroup;
     settings.login_ = settings_.login_;
+    settings.protocols_ = settings_.protocols_;
+    settings.traffic_.idleCheck_ = settings_.protocols_.targets_->idleCheck_;
     settings.traffic_.seed_ =
       settings_.seed_ + std::hash<std::string>()(aGroup);
     settings.trace_ = settings_.trace_;
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -40,6 +40,8 @@
   EntryContext entry_; //!< without cache and routes
   std::size_t cachedStatements_ = 0;
   target::Login login_;
+  OwnerProtocols protocols_;
+  core::classification::Classifier classify_ = core::classification::Classify;
   std::uint64_t seed_ = 0;
   recording::TraceRecorder* trace_ = nullptr;
 };
--- a/cmake/WigeonlbPackage.cmake
+++ b/cmake/WigeonlbPackage.cmake
@@ -20,14 +20,19 @@
   wigeonlb_configure(${aName} "${P_NEEDS}" "${P_LIBRARIES}")
 endfunction()
 
-# Unit tests of one module: a Catch2 program registered with CTest.
+# Unit tests of one module: a Catch2 program registered with CTest. Nothing is
+# declared where tests are left out (WIGEONLB_TESTS=OFF).
 function(wigeonlb_tests aName)
-  cmake_parse_arguments(P "" "" "SOURCES;NEEDS;LIBRARIES" ${ARGN})
+  if(NOT WIGEONLB_TESTS)
+    return()
+  endif()
+  cmake_parse_arguments(P "" "" "SOURCES;NEEDS;LIBRARIES;DEFINITIONS" ${ARGN})
   add_executable(test_${aName} ${P_SOURCES})
   wigeonlb_configure(test_${aName} "${P_NEEDS}" "${P_LIBRARIES}")
   target_link_libraries(test_${aName} PRIVATE wigeonlb_testmain)
   target_compile_definitions(test_${aName} PRIVATE
-    WIGEONLB_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/tests/data")
+    WIGEONLB_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/tests/data"
+    ${P_DEFINITIONS})
   add_test(NAME ${aName} COMMAND test_${aName})
   set_tests_properties(${aName} PROPERTIES TIMEOUT 240)
 endfunction()
--- a/packages/platform/announcement.cpp
+++ b/packages/announcements/announcement.cpp
@@ -1,4 +1,4 @@
-#include "platform/announcement.h"
+#include "announcements/announcement.h"
 
 #include <algorithm>
 #include <charconv>
@@ -8,7 +8,7 @@
 #include <google/protobuf/descriptor.h>
 #include <nlohmann/json.hpp>
 
-namespace wigeonlb::platform {
+namespace wigeonlb::announcements {
 
 using foundation::AddFinding;
 using foundation::Findings;
@@ -165,4 +165,4 @@
   return result;
 }
 
-} // namespace wigeonlb::platform
+} // namespace wigeonlb::announcements
--- a/packages/platform/announcement.h
+++ b/packages/announcements/announcement.h
@@ -5,7 +5,7 @@
 #include "control.pb.h"
 #include "foundation/findings.h"
 
-namespace wigeonlb::platform {
+namespace wigeonlb::announcements {
 
 //! Reads an announcement from a JSON object whose names are the fields of
 //! wire::Announcement. Adds a finding for each thing that is wrong, its place a
@@ -14,4 +14,4 @@
 wire::Announcement
 ParseAnnouncement(std::string_view aJson, foundation::Findings& aFindings);
 
-} // namespace wigeonlb::platform
+} // namespace wigeonlb::announcements
--- a/packages/platform/platformroutes.cpp
+++ b/packages/announcements/announcementroutes.cpp
@@ -1,15 +1,15 @@
-#include "platform/platformroutes.h"
+#include "announcements/announcementroutes.h"
 
 #include <utility>
 
-#include "platform/announcement.h"
+#include "announcements/announcement.h"
 
-namespace wigeonlb::platform {
+namespace wigeonlb::announcements {
 
 namespace {
 
 http::HttpResponse
-AnswerHealth(const PlatformCallbacks& aCallbacks)
+AnswerHealth(const AnnouncementCallbacks& aCallbacks)
 {
   if (aCallbacks.isServing_()) {
     return { .status_ = 200, .body_ = "serving\n" };
@@ -18,7 +18,7 @@
 }
 
 http::HttpResponse
-AnswerAnnouncement(const PlatformCallbacks& aCallbacks,
+AnswerAnnouncement(const AnnouncementCallbacks& aCallbacks,
                    const http::HttpRequest& aRequest)
 {
   foundation::Findings findings;
@@ -33,7 +33,7 @@
 } // namespace
 
 void
-RegisterPlatformRoutes(http::HttpRouter& aRouter, PlatformCallbacks aCallbacks)
+RegisterAnnouncementRoutes(http::HttpRouter& aRouter, AnnouncementCallbacks aCallbacks)
 {
   aRouter.Add("GET",
               "/healthz",
@@ -48,4 +48,4 @@
     });
 }
 
-} // namespace wigeonlb::platform
+} // namespace wigeonlb::announcements
--- a/packages/platform/platformroutes.h
+++ b/packages/announcements/announcementroutes.h
@@ -5,11 +5,11 @@
 #include "control.pb.h"
 #include "http/httprouter.h"
 
-namespace wigeonlb::platform {
+namespace wigeonlb::announcements {
 
-//! What the platform's routes ask of the daemon. Called on the server's
+//! What the routes ask of the daemon. Called on the server's
 //! executor; must not block.
-struct PlatformCallbacks
+struct AnnouncementCallbacks
 {
   //! Whether this host takes new callers.
   std::function<bool()> isServing_;
@@ -19,6 +19,6 @@
 //! Adds `GET /healthz` (200 while serving, else 503) and `POST /announce` (200,
 //! or 400 with every finding).
 void
-RegisterPlatformRoutes(http::HttpRouter& aRouter, PlatformCallbacks aCallbacks);
+RegisterAnnouncementRoutes(http::HttpRouter& aRouter, AnnouncementCallbacks aCallbacks);
 
-} // namespace wigeonlb::platform
+} // namespace wigeonlb::announcements
--- a/packages/platform/tests/platform_tests.cpp
+++ b/packages/announcements/tests/announcements_tests.cpp
@@ -2,10 +2,10 @@
 
 #include <vector>
 
-#include "platform/announcement.h"
-#include "platform/platformroutes.h"
+#include "announcements/announcement.h"
+#include "announcements/announcementroutes.h"
 
-namespace wigeonlb::platform {
+namespace wigeonlb::announcements {
 
 namespace {
 
@@ -14,10 +14,10 @@
   "connection_limit": 30, "incarnation": 5, "leaving": true})";
 
 http::HttpResponse
-Answer(const PlatformCallbacks& aCallbacks, const http::HttpRequest& aRequest)
+Answer(const AnnouncementCallbacks& aCallbacks, const http::HttpRequest& aRequest)
 {
   http::HttpRouter router;
-  RegisterPlatformRoutes(router, aCallbacks);
+  RegisterAnnouncementRoutes(router, aCallbacks);
   http::HttpResponse response;
   router.Handle(aRequest, [&](http::HttpResponse aResponse) {
     response = std::move(aResponse);
@@ -74,7 +74,7 @@
   CHECK(foundation::ToString(findings) == row.findings_);
 }
 
-TEST_CASE("the platform's routes answer", "[platformroutes]")
+TEST_CASE("the routes answer", "[announcementroutes]")
 {
   struct Row
   {
@@ -94,7 +94,7 @@
     { "POST", "/announce", "{}", true, 400, 0 },
   }));
   std::vector<wire::Announcement> announced;
-  const PlatformCallbacks callbacks{
+  const AnnouncementCallbacks callbacks{
     .isServing_ = [&] { return row.serving_; },
     .onAnnouncement_ =
       [&](wire::Announcement&& aAnnouncement) {
@@ -108,4 +108,4 @@
   CHECK(announced.size() == row.announced_);
 }
 
-} // namespace wigeonlb::platform
+} // namespace wigeonlb::announcements
--- a/packages/caller/callersession.cpp
+++ b/packages/caller/callersession.cpp
@@ -40,18 +40,6 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
-bool
-IsExtendedQuery(char aType)
-{
-  return std::string_view("PBDEC").find(aType) != std::string_view::npos;
-}
-
-bool
-IsCopy(char aType)
-{
-  return std::string_view("dcf").find(aType) != std::string_view::npos;
-}
-
 } // namespace
 
 CallerSession::CallerSession(boost::asio::io_context& aContext,
@@ -65,7 +53,7 @@
   , options_(aOptions)
   , number_(NextNumber())
   , remoteAddress_(RemoteAddressOf(socket_))
-  , reader_(aOptions.maxMessageBytes_)
+  , decoder_(aOptions.protocol_->makeDecoder_(aOptions.maxMessageBytes_))
 {
 }
 
@@ -88,12 +76,8 @@
   }
   state_ = State::Ready;
   std::string frames;
-  AppendAuthenticationOk(frames);
-  for (const Parameter& parameter : aParameters) {
-    AppendParameterStatus(frames, parameter.name_, parameter.value_);
-  }
-  AppendBackendKeyData(frames, aKey);
-  AppendReadyForQuery(frames, status_);
+  options_.protocol_->appendAccepted_(frames, aParameters, aKey);
+  options_.protocol_->appendReady_(frames, status_);
   Send(std::move(frames));
   HandleInput();
 }
@@ -121,7 +105,7 @@
   state_ = State::Ready;
   status_ = aStatus;
   std::string frames;
-  AppendReadyForQuery(frames, aStatus);
+  options_.protocol_->appendReady_(frames, aStatus);
   Send(std::move(frames));
   RefuseIfIdle();
   HandleInput();
@@ -135,7 +119,7 @@
   }
   aError.severity_ = "FATAL";
   std::string frames;
-  AppendErrorResponse(frames, aError);
+  options_.protocol_->appendFatal_(frames, aError);
   Send(std::move(frames));
   state_ = State::Closing;
   timer_.cancel();
@@ -213,7 +197,7 @@
   const bool busy =
     state_ == State::Startup || state_ == State::Query || OutputFull();
   if (reading_ || state_ == State::Closed ||
-      (busy && reader_.PendingBytes() > 0)) {
+      (busy && decoder_->PendingBytes() > 0)) {
     return;
   }
   reading_ = true;
@@ -236,7 +220,7 @@
     return;
   }
   if (state_ != State::Closing) {
-    reader_.Feed({ chunk_.data(), aBytes });
+    decoder_->Feed({ chunk_.data(), aBytes });
     HandleInput();
   }
   Read();
@@ -271,127 +255,59 @@
   if ((state_ != State::Opening && state_ != State::Ready) || OutputFull()) {
     return false;
   }
-  std::optional<Frame> frame;
-  const auto error =
-    state_ == State::Opening ? reader_.TakeStartup(frame) : reader_.Take(frame);
-  if (error) {
+  std::optional<CallerInput> input;
+  if (const auto error = decoder_->Take(status_, input)) {
     FailProtocol(error);
     return false;
   }
-  if (!frame) {
+  if (!input) {
     return false;
   }
-  if (state_ == State::Opening) {
-    HandleOpening(frame->payload_);
-  } else {
-    HandleMessage(*frame);
-  }
+  std::visit([this](const auto& aAsked) { Handle(aAsked); }, *input);
   return true;
 }
 
 void
-CallerSession::HandleOpening(std::string_view aPayload)
+CallerSession::Handle(const CancelAsked& aAsked)
 {
-  StartupPacket packet;
-  if (const auto error = ParseStartupPacket(aPayload, packet)) {
-    FailProtocol(error);
-    return;
-  }
-  switch (packet.kind_) {
-    case StartupKind::SslRequest:
-    case StartupKind::GssEncryptionRequest:
-      Send("N");
-      return;
-    case StartupKind::CancelRequest:
-      observer_.OnCancel(packet.cancelKey_);
-      Close();
-      return;
-    case StartupKind::Startup:
-      HandleStartup(packet.request_);
-      return;
-  }
+  observer_.OnCancel(aAsked.key_);
+  Close();
 }
 
 void
-CallerSession::HandleStartup(const StartupRequest& aRequest)
+CallerSession::Handle(const ReplyAsked& aAsked)
 {
-  timer_.cancel();
-  state_ = State::Startup;
-  if (aRequest.protocolMinor_ > 0 || !aRequest.protocolOptions_.empty()) {
-    std::string frames;
-    AppendNegotiateProtocolVersion(frames, aRequest.protocolOptions_);
-    Send(std::move(frames));
-  }
-  if (startupRefusal_) {
-    Refuse(*startupRefusal_);
-    return;
-  }
-  observed_ = true;
-  observer_.OnStartup(*this, aRequest);
+  Send(aAsked.frames_);
 }
 
 void
-CallerSession::HandleMessage(const Frame& aFrame)
+CallerSession::Handle(const EndAsked&)
 {
-  if (aFrame.type_ == 'X') {
-    Close();
-  } else if (aFrame.type_ == 'S') {
-    HandleSync();
-  } else if (aFrame.type_ == 'H' || IsCopy(aFrame.type_)) {
-    // Flush has nothing to do, and copy data behind a refused COPY is dropped
-    // as the protocol asks for.
-  } else if (aFrame.type_ == 'F' || IsExtendedQuery(aFrame.type_)) {
-    HandleUnsupported(aFrame.type_);
-  } else if (aFrame.type_ != 'Q') {
-    FailProtocol(CallerError::UnexpectedMessage);
-  } else if (!skipToSync_) {
-    HandleQuery(aFrame.payload_);
-  }
+  Close();
 }
 
 void
-CallerSession::HandleQuery(std::string_view aPayload)
+CallerSession::Handle(const StartupAsked& aAsked)
 {
-  std::string_view sql;
-  if (const auto error = ParseQuery(aPayload, sql)) {
-    FailProtocol(error);
-    return;
+  timer_.cancel();
+  state_ = State::Startup;
+  if (!aAsked.greeting_.empty()) {
+    Send(aAsked.greeting_);
   }
-  state_ = State::Query;
-  observer_.OnQuery(*this, sql);
-}
-
-// NOTE An open transaction stays as it is: the refused message never reached
-// the target, so its status is told unchanged.
-void
-CallerSession::HandleUnsupported(char aType)
-{
-  if (skipToSync_) {
+  if (startupRefusal_) {
+    Refuse(*startupRefusal_);
     return;
   }
-  const bool functionCall = aType == 'F';
-  std::string frames;
-  AppendErrorResponse(
-    frames,
-    { .severity_ = "ERROR",
-      .sqlstate_ = std::string(sqlstates::kFeatureNotSupported),
-      .message_ = functionCall ? "the function call message is not supported"
-                               : "the extended query protocol is not supported",
-      .hint_ = "Use the simple query protocol." });
-  if (functionCall) {
-    AppendReadyForQuery(frames, status_);
-  }
-  skipToSync_ = !functionCall;
-  Send(std::move(frames));
+  observed_ = true;
+  observer_.OnStartup(*this, aAsked.request_);
 }
 
 void
-CallerSession::HandleSync()
+CallerSession::Handle(const QueryAsked& aAsked)
 {
-  skipToSync_ = false;
-  std::string frames;
-  AppendReadyForQuery(frames, status_);
-  Send(std::move(frames));
+  state_ = State::Query;
+  queryId_ = aAsked.id_;
+  observer_.OnQuery(*this, aAsked.text_);
 }
 
 void
--- a/packages/caller/callersession.h
+++ b/packages/caller/callersession.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -14,8 +15,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
-#include "caller/frames.h"
-#include "caller/startup.h"
+#include "caller/protocol.h"
 #include "foundation/clock.h"
 
 namespace wigeonlb::caller {
@@ -52,6 +52,7 @@
 //! Settings of a session.
 struct CallerSessionOptions
 {
+  const Protocol* protocol_ = &PostgresqlProtocol();
   //! Time for a new connection to send its startup packet.
   foundation::Duration startupTimeout_ = std::chrono::seconds(10);
   std::size_t maxMessageBytes_ = std::size_t{ 16 } << 20U;
@@ -125,6 +126,10 @@
   //! The caller's `address:port`; empty when it was gone at the accept.
   const std::string& RemoteAddress() const { return remoteAddress_; }
 
+  //! The caller's own id of the query in progress; empty where its protocol has
+  //! none.
+  const std::string& QueryId() const { return queryId_; }
+
   bool QueryInProgress() const { return state_ == State::Query; }
   bool Closed() const { return state_ == State::Closed; }
   TransactionStatus Status() const { return status_; }
@@ -159,12 +164,11 @@
   bool OutputFull() const;
   void HandleInput();
   bool HandleNext();
-  void HandleOpening(std::string_view aPayload);
-  void HandleMessage(const Frame& aFrame);
-  void HandleStartup(const StartupRequest& aRequest);
-  void HandleQuery(std::string_view aPayload);
-  void HandleUnsupported(char aType);
-  void HandleSync();
+  void Handle(const StartupAsked& aAsked);
+  void Handle(const CancelAsked& aAsked);
+  void Handle(const QueryAsked& aAsked);
+  void Handle(const ReplyAsked& aAsked);
+  void Handle(const EndAsked& aAsked);
   void OnOutputDrained();
   void FailProtocol(const std::error_code& aError);
   void WriteSoon();
@@ -186,12 +190,12 @@
   bool observed_ = false; //!< OnStartup was called
   bool reading_ = false;
   bool handling_ = false;
-  bool skipToSync_ = false;
   bool writePosted_ = false;
   bool writePending_ = false;
   std::optional<ErrorFields> idleRefusal_;
   std::optional<ErrorFields> startupRefusal_;
-  FrameReader reader_;
+  std::unique_ptr<Decoder> decoder_;
+  std::string queryId_;
   std::array<char, kChunkBytes> chunk_;
   std::string queued_;
   std::string writing_;
--- /dev/null
+++ b/packages/caller/pgprotocol.cpp
@@ -0,0 +1,198 @@
+#include "caller/callererrors.h"
+#include "caller/protocol.h"
+#include "caller/sqlstates.h"
+
+namespace wigeonlb::caller {
+
+namespace {
+
+bool
+IsExtendedQuery(char aType)
+{
+  return std::string_view("PBDEC").find(aType) != std::string_view::npos;
+}
+
+//! Flush has nothing to do, and copy data behind a refused COPY is dropped as
+//! the protocol asks for.
+bool
+IsPassedOver(char aType)
+{
+  return std::string_view("Hdcf").find(aType) != std::string_view::npos;
+}
+
+//! The first error of a refused message, and what follows it up to a Sync.
+class PgDecoder : public Decoder
+{
+public:
+  explicit PgDecoder(std::size_t aMaxMessageBytes)
+    : reader_(aMaxMessageBytes)
+  {
+  }
+
+  void Feed(std::string_view aBytes) override { reader_.Feed(aBytes); }
+
+  std::size_t PendingBytes() const override { return reader_.PendingBytes(); }
+
+  std::error_code Take(TransactionStatus aStatus,
+                       std::optional<CallerInput>& aInput) override
+  {
+    std::error_code error;
+    bool more = true;
+    while (more && !error && !aInput) {
+      error = started_ ? TakeMessage(aStatus, aInput, more)
+                       : TakeOpening(aInput, more);
+    }
+    return error;
+  }
+
+private:
+  std::error_code TakeOpening(std::optional<CallerInput>& aInput, bool& aMore)
+  {
+    std::optional<Frame> frame;
+    if (const auto error = reader_.TakeStartup(frame)) {
+      return error;
+    }
+    aMore = frame.has_value();
+    if (!aMore) {
+      return {};
+    }
+    StartupPacket packet;
+    if (const auto error = ParseStartupPacket(frame->payload_, packet)) {
+      return error;
+    }
+    switch (packet.kind_) {
+      case StartupKind::SslRequest:
+      case StartupKind::GssEncryptionRequest:
+        aInput = ReplyAsked{ "N" };
+        break;
+      case StartupKind::CancelRequest:
+        aInput = CancelAsked{ packet.cancelKey_ };
+        break;
+      case StartupKind::Startup:
+        aInput = StartupOf(std::move(packet.request_));
+        break;
+    }
+    return {};
+  }
+
+  StartupAsked StartupOf(StartupRequest aRequest)
+  {
+    started_ = true;
+    StartupAsked asked;
+    if (aRequest.protocolMinor_ > 0 || !aRequest.protocolOptions_.empty()) {
+      AppendNegotiateProtocolVersion(asked.greeting_,
+                                     aRequest.protocolOptions_);
+    }
+    asked.request_ = std::move(aRequest);
+    return asked;
+  }
+
+  std::error_code TakeMessage(TransactionStatus aStatus,
+                              std::optional<CallerInput>& aInput,
+                              bool& aMore)
+  {
+    std::optional<Frame> frame;
+    if (const auto error = reader_.Take(frame)) {
+      return error;
+    }
+    aMore = frame.has_value();
+    if (!aMore || IsPassedOver(frame->type_)) {
+      return {};
+    }
+    if (frame->type_ == 'X') {
+      aInput = EndAsked{};
+    } else if (frame->type_ == 'S') {
+      skipToSync_ = false;
+      aInput = ReplyAsked{ ReadyFrames(aStatus) };
+    } else if (frame->type_ == 'F' || IsExtendedQuery(frame->type_)) {
+      Refuse(frame->type_ == 'F', aStatus, aInput);
+    } else if (frame->type_ != 'Q') {
+      return CallerError::UnexpectedMessage;
+    } else if (!skipToSync_) {
+      return TakeQuery(frame->payload_, aInput);
+    }
+    return {};
+  }
+
+  static std::error_code TakeQuery(std::string_view aPayload,
+                                   std::optional<CallerInput>& aInput)
+  {
+    std::string_view sql;
+    if (const auto error = ParseQuery(aPayload, sql)) {
+      return error;
+    }
+    aInput = QueryAsked{ {}, sql };
+    return {};
+  }
+
+  // NOTE An open transaction stays as it is: the refused message never reached
+  // the target, so its status is told unchanged.
+  void Refuse(bool aFunctionCall,
+              TransactionStatus aStatus,
+              std::optional<CallerInput>& aInput)
+  {
+    if (skipToSync_) {
+      return;
+    }
+    std::string frames;
+    AppendErrorResponse(
+      frames,
+      { .severity_ = "ERROR",
+        .sqlstate_ = std::string(sqlstates::kFeatureNotSupported),
+        .message_ = aFunctionCall
+                      ? "the function call message is not supported"
+                      : "the extended query protocol is not supported",
+        .hint_ = "Use the simple query protocol." });
+    if (aFunctionCall) {
+      AppendReadyForQuery(frames, aStatus);
+    }
+    skipToSync_ = !aFunctionCall;
+    aInput = ReplyAsked{ std::move(frames) };
+  }
+
+  static std::string ReadyFrames(TransactionStatus aStatus)
+  {
+    std::string frames;
+    AppendReadyForQuery(frames, aStatus);
+    return frames;
+  }
+
+  FrameReader reader_;
+  bool started_ = false;
+  bool skipToSync_ = false;
+};
+
+std::unique_ptr<Decoder>
+MakeDecoder(std::size_t aMaxMessageBytes)
+{
+  return std::make_unique<PgDecoder>(aMaxMessageBytes);
+}
+
+void
+AppendAccepted(std::string& aFrames,
+               std::span<const Parameter> aParameters,
+               const CancelKey& aKey)
+{
+  AppendAuthenticationOk(aFrames);
+  for (const Parameter& parameter : aParameters) {
+    AppendParameterStatus(aFrames, parameter.name_, parameter.value_);
+  }
+  AppendBackendKeyData(aFrames, aKey);
+}
+
+constexpr Protocol kPostgresql = {
+  MakeDecoder,           AppendAccepted,       AppendReadyForQuery,
+  AppendErrorResponse,   AppendErrorResponse,  AppendParameterStatus,
+  AppendRowDescription,  AppendDataRow,        AppendCommandComplete,
+  AppendCommandComplete, AppendEmptyQueryResponse,
+};
+
+} // namespace
+
+const Protocol&
+PostgresqlProtocol()
+{
+  return kPostgresql;
+}
+
+} // namespace wigeonlb::caller
--- a/packages/caller/sqlstates.h
+++ b/packages/caller/sqlstates.h
@@ -28,6 +28,9 @@
 //! ROLLBACK.
 inline constexpr std::string_view kFailedTransaction = "25P02";
 
+//! There is no prepared statement of that name. Nothing was run.
+inline constexpr std::string_view kUnknownStatement = "26000";
+
 //! The caller's `database` names no group. Nothing was run.
 inline constexpr std::string_view kUnknownGroup = "3D000";
 
--- a/packages/core/classification/classification.h
+++ b/packages/core/classification/classification.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "forward.pb.h"
 
@@ -26,6 +27,42 @@
   std::string value_;
 };
 
+//! The session's own value: kept by the entry host, and given to whatever
+//! connection runs the session's statements.
+struct SetValue
+{
+  std::string name_;
+  std::string value_;
+};
+
+//! The session prepares a statement.
+struct Prepare
+{
+  std::string name_;       //!< the caller's
+  std::string sharedName_; //!< depends on the definition only
+  std::string definition_; //!< prepares it under the shared name
+  wire::StatementClass class_ = wire::STATEMENT_WRITE;
+};
+
+//! The session runs a prepared statement: its text is what stands before the
+//! name, the shared name, and what stands behind.
+struct Execute
+{
+  std::string name_;
+  std::string before_;
+  std::string behind_;
+};
+
+//! The session forgets a prepared statement.
+struct Deallocate
+{
+  std::string name_;
+};
+
+//! What a statement does to the session's state, if anything.
+using SessionStep =
+  std::variant<std::monostate, SetValue, Prepare, Execute, Deallocate>;
+
 //! Why a statement can't be run.
 struct Refusal
 {
@@ -48,6 +85,7 @@
   //! refused outside of one, where it would touch a shared connection.
   bool onlyInTransaction_ = false;
   std::optional<OwnSetting> ownSetting_;
+  SessionStep sessionStep_;
   std::optional<Refusal> refusal_;
 };
 
--- a/packages/core/classification/classificationcache.cpp
+++ b/packages/core/classification/classificationcache.cpp
@@ -3,8 +3,10 @@
 namespace wigeonlb::core::classification {
 
 ClassificationCache::ClassificationCache(std::size_t aLimit,
-                                         std::size_t aLimitBytes)
-  : limit_(aLimit)
+                                         std::size_t aLimitBytes,
+                                         Classifier aClassify)
+  : classify_(aClassify)
+  , limit_(aLimit)
   , limitBytes_(aLimitBytes)
 {
 }
@@ -35,12 +37,12 @@
   }
   ++misses_;
   if (aText.size() > kLongestTextBytes || limit_ == 0) {
-    uncached_ = Classify(aText);
+    uncached_ = classify_(aText);
     return uncached_;
   }
   auto entry = std::make_unique<Entry>();
   entry->text_ = aText;
-  entry->verdict_ = Classify(aText);
+  entry->verdict_ = classify_(aText);
   Entry& added = *entry;
   byText_.emplace(added.text_, std::move(entry));
   recent_.push_front(added);
--- a/packages/core/classification/classificationcache.h
+++ b/packages/core/classification/classificationcache.h
@@ -13,6 +13,9 @@
 
 namespace wigeonlb::core::classification {
 
+//! Reads the text of one query message in some language.
+using Classifier = Classification (*)(std::string_view aText);
+
 //! Verdicts by statement text, least recently used dropped first. Not thread
 //! safe: one for each traffic thread.
 class ClassificationCache
@@ -22,7 +25,9 @@
   static constexpr std::size_t kLongestTextBytes = 8192;
 
   //! Keeps at most this many verdicts and this many bytes of text.
-  ClassificationCache(std::size_t aLimit, std::size_t aLimitBytes);
+  ClassificationCache(std::size_t aLimit,
+                      std::size_t aLimitBytes,
+                      Classifier aClassify = Classify);
   ~ClassificationCache();
   ClassificationCache(const ClassificationCache&) = delete;
   ClassificationCache& operator=(const ClassificationCache&) = delete;
@@ -43,6 +48,7 @@
 
   void DropOldest();
 
+  Classifier classify_;
   std::size_t limit_;
   std::size_t limitBytes_;
   std::size_t bytes_ = 0;
--- a/packages/core/configuration/applyrecord.cpp
+++ b/packages/core/configuration/applyrecord.cpp
@@ -1,6 +1,9 @@
 #include "core/configuration/applyrecord.h"
 
 #include <algorithm>
+#include <set>
+
+#include <google/protobuf/util/message_differencer.h>
 
 #include "core/configuration/internal/changedraft.h"
 #include "core/configuration/internal/decisions.h"
@@ -48,14 +51,91 @@
   dropped.set_group(aGroup);
   dropped.set_revision(aState.revision());
   if (aState.dropped_groups_size() > kDroppedGroupsLimit) {
-    aState.set_dropped_horizon(aState.dropped_groups(0).revision());
+    aState.set_dropped_horizon(
+      std::max(aState.dropped_horizon(), aState.dropped_groups(0).revision()));
     aState.mutable_dropped_groups()->DeleteSubrange(0, 1);
   }
 }
 
+bool
+SameDatabase(const wire::DatabaseState& aPresent, wire::DatabaseState aWanted)
+{
+  aWanted.set_revision(aPresent.revision());
+  return google::protobuf::util::MessageDifferencer::Equals(aPresent, aWanted);
+}
+
+void
+RememberDroppedDatabase(wire::ControlState& aState, const std::string& aName)
+{
+  wire::DroppedDatabase& dropped = *aState.add_dropped_databases();
+  dropped.set_database(aName);
+  dropped.set_revision(aState.revision());
+  if (aState.dropped_databases_size() > kDroppedDatabasesLimit) {
+    aState.set_dropped_horizon(std::max(
+      aState.dropped_horizon(), aState.dropped_databases(0).revision()));
+    aState.mutable_dropped_databases()->DeleteSubrange(0, 1);
+  }
+}
+
+void
+DropMissingDatabases(wire::ControlState& aState,
+                     const wire::NumberedConfiguration& aConfiguration)
+{
+  std::set<std::string> missing;
+  for (const auto& [name, database] : aState.databases()) {
+    missing.insert(name);
+  }
+  for (const wire::DatabaseState& database : aConfiguration.databases()) {
+    missing.erase(database.database());
+  }
+  for (const std::string& name : missing) {
+    aState.mutable_databases()->erase(name);
+    RememberDroppedDatabase(aState, name);
+  }
+}
+
+//! A database that comes back is dropped no more.
+void
+ForgetDroppedDatabase(wire::ControlState& aState, const std::string& aName)
+{
+  auto& dropped = *aState.mutable_dropped_databases();
+  dropped.erase(std::remove_if(dropped.begin(),
+                               dropped.end(),
+                               [&](const wire::DroppedDatabase& aDropped) {
+                                 return aDropped.database() == aName;
+                               }),
+                dropped.end());
+}
+
+//! Databases that stay as they are keep their revision, so that hosts are told
+//! only of the others.
+void
+AdoptConfiguration(wire::ControlState& aState,
+                   const wire::NumberedConfiguration& aConfiguration)
+{
+  DropMissingDatabases(aState, aConfiguration);
+  for (const wire::DatabaseState& wanted : aConfiguration.databases()) {
+    const auto present = aState.databases().find(wanted.database());
+    if (present != aState.databases().end() &&
+        SameDatabase(present->second, wanted)) {
+      continue;
+    }
+    ForgetDroppedDatabase(aState, wanted.database());
+    wire::DatabaseState& database =
+      (*aState.mutable_databases())[wanted.database()];
+    database = wanted;
+    database.set_revision(aState.revision());
+  }
+  aState.set_document_number(aConfiguration.number());
+  aState.set_document(aConfiguration.document());
+}
+
 void
 Accept(wire::ControlState& aState, ChangeDraft& aDraft, ApplyResult& aResult)
 {
+  if (IsUnchanged(aDraft)) {
+    return;
+  }
   aState.set_revision(aState.revision() + 1);
   aResult.changed_ = true;
   aResult.settingsChanged_ = aDraft.settingsChanged_;
@@ -73,6 +153,9 @@
       aResult.droppedGroups_.push_back(name);
     }
   }
+  if (aDraft.adopted_) {
+    AdoptConfiguration(aState, *aDraft.adopted_);
+  }
 }
 
 wire::ChangeResult
@@ -139,6 +222,9 @@
   }
   aState.set_revision(aState.revision() + 1);
   group->second.set_revision(aState.revision());
+  if constexpr (std::is_same_v<Decision, wire::ChoosePrimary>) {
+    group->second.set_choice_index(aState.applied_index());
+  }
   aResult.changed_ = true;
   aResult.changedGroups_.push_back(aDecision.group());
 }
--- a/packages/core/configuration/applyrecord.h
+++ b/packages/core/configuration/applyrecord.h
@@ -19,6 +19,9 @@
 //! Number of dropped groups that are remembered for deltas.
 constexpr int kDroppedGroupsLimit = 64;
 
+//! Number of dropped databases that are remembered for deltas.
+constexpr int kDroppedDatabasesLimit = 1024;
+
 //! Number of term starts kept for one group.
 constexpr int kHistoryLimit = 32;
 
--- a/packages/core/configuration/configurationview.cpp
+++ b/packages/core/configuration/configurationview.cpp
@@ -54,6 +54,18 @@
   }
 }
 
+void
+TakeDatabases(ConfigurationView& aView, const wire::HeartbeatReply& aReply)
+{
+  auto& databases = *aView.state_.mutable_databases();
+  for (const std::string& name : aReply.dropped_databases()) {
+    databases.erase(name);
+  }
+  for (const wire::DatabaseState& database : aReply.databases()) {
+    databases[database.database()] = database;
+  }
+}
+
 } // namespace
 
 ViewChange
@@ -75,6 +87,7 @@
   }
   if (aReply.whole()) {
     DropMissing(aView, aReply, change);
+    aView.state_.mutable_databases()->clear();
   }
   for (const std::string& name : aReply.dropped_groups()) {
     DropGroup(aView, name, change);
@@ -82,6 +95,7 @@
   for (const wire::GroupState& group : aReply.groups()) {
     TakeGroup(aView, group, change);
   }
+  TakeDatabases(aView, aReply);
   change.settingsChanged_ = !SameSettings(aView.state_, aReply);
   *aView.state_.mutable_settings() = aReply.settings();
   aView.state_.set_revision(aReply.revision());
--- a/packages/core/configuration/configurationview.h
+++ b/packages/core/configuration/configurationview.h
@@ -12,7 +12,7 @@
 //! The configuration that is in force at one host.
 struct ConfigurationView
 {
-  //! Revision, groups and settings; the other fields stay empty.
+  //! Revision, groups, databases and settings; the other fields stay empty.
   wire::ControlState state_;
   //! Highest revision that a member was ever heard to have.
   foundation::Revision highestSeen_ = 0;
--- a/packages/core/configuration/delta.cpp
+++ b/packages/core/configuration/delta.cpp
@@ -14,6 +14,11 @@
       aReply.add_dropped_groups(dropped.group());
     }
   }
+  for (const wire::DroppedDatabase& dropped : aState.dropped_databases()) {
+    if (dropped.revision() > aSince) {
+      aReply.add_dropped_databases(dropped.database());
+    }
+  }
 }
 
 } // namespace
@@ -36,6 +41,11 @@
       *reply.add_groups() = group;
     }
   }
+  for (const auto& [name, database] : aState.databases()) {
+    if (whole || database.revision() > aSince) {
+      *reply.add_databases() = database;
+    }
+  }
   if (!whole) {
     AddDropped(aState, aSince, reply);
   }
--- a/packages/core/configuration/groupoptions.cpp
+++ b/packages/core/configuration/groupoptions.cpp
@@ -15,6 +15,16 @@
 constexpr std::int64_t kDayUs = 1440 * kMinuteUs;
 
 constexpr std::array kGroupRows = {
+  OptionRow{ "acknowledge",
+             OptionType::Word,
+             "",
+             "majority",
+             0,
+             0,
+             "who has a write before it is acknowledged: majority (of the "
+             "targets), one_replica (the primary waits for it itself) or "
+             "primary; with primary alone a crash can take back what was "
+             "acknowledged" },
   OptionRow{
     "concurrency",
     OptionType::Number,
@@ -23,6 +33,13 @@
     0,
     10000,
     "statements at once on one target, fewer than its slots; 0: as many" },
+  OptionRow{ "connection_limit",
+             OptionType::Number,
+             "connections",
+             "0",
+             0,
+             100000,
+             "connections that each target takes from all; 0: as it announces" },
   OptionRow{ "dialect",
              OptionType::Word,
              "",
--- a/packages/core/configuration/internal/changedraft.cpp
+++ b/packages/core/configuration/internal/changedraft.cpp
@@ -160,6 +160,69 @@
   group->set_requested_primary(aRequest.target());
 }
 
+bool
+SameOptions(const wire::GroupState& aGroup, const wire::CreateGroup& aWanted)
+{
+  return std::map(aGroup.options().begin(), aGroup.options().end()) ==
+         std::map(aWanted.options().begin(), aWanted.options().end());
+}
+
+//! Makes a group, or gives it the options; one that has them isn't touched.
+void
+Define(Context& aContext, const wire::CreateGroup& aWanted)
+{
+  const auto present = aContext.state_.groups().find(aWanted.group());
+  if (present == aContext.state_.groups().end()) {
+    Create(aContext, aWanted);
+    return;
+  }
+  if (SameOptions(present->second, aWanted)) {
+    return;
+  }
+  for (const auto& [key, value] : std::map<std::string, std::string>(
+         aWanted.options().begin(), aWanted.options().end())) {
+    CheckOption(
+      GroupOptions(), key, value, aContext.place_, aContext.findings_);
+  }
+  *DraftedGroup(aContext, aWanted.group())->mutable_options() =
+    aWanted.options();
+}
+
+bool
+IsDefined(const Context& aContext, const std::string& aGroup)
+{
+  const auto drafted = aContext.draft_.groups_.find(aGroup);
+  return drafted == aContext.draft_.groups_.end()
+           ? aContext.state_.groups().contains(aGroup)
+           : drafted->second.has_value();
+}
+
+//! The highest number is in force: the same or a lower one changes nothing,
+//! whatever it says.
+void
+Adopt(Context& aContext, const wire::NumberedConfiguration& aConfiguration)
+{
+  if (aConfiguration.number() <= aContext.state_.document_number()) {
+    return;
+  }
+  for (const wire::CreateGroup& group : aConfiguration.groups()) {
+    Define(aContext, group);
+  }
+  std::set<std::string> names;
+  for (const wire::DatabaseState& database : aConfiguration.databases()) {
+    const std::string& name = database.database();
+    if (name.empty() || !names.insert(name).second) {
+      Refuse(aContext, "database '" + name + "' is named twice or not at all");
+    }
+    if (!IsDefined(aContext, database.group())) {
+      Refuse(aContext,
+             "database " + name + " is over the unknown group " +
+               database.group());
+    }
+  }
+  aContext.draft_.adopted_ = aConfiguration;
+}
+
 void
 Carry(Context& aContext, const Operation& aOperation)
 {
@@ -176,6 +239,8 @@
       return Drain(aContext, aOperation.set_draining());
     case Operation::kRequestPromotion:
       return RequestPrimary(aContext, aOperation.request_promotion());
+    case Operation::kAdopt:
+      return Adopt(aContext, aOperation.adopt());
     case Operation::OPERATION_NOT_SET:
       return Refuse(aContext, "unknown operation");
   }
--- a/packages/core/configuration/internal/changedraft.h
+++ b/packages/core/configuration/internal/changedraft.h
@@ -17,8 +17,18 @@
   std::map<foundation::GroupName, std::optional<wire::GroupState>> groups_;
   Settings settings_;
   bool settingsChanged_ = false;
+  //! A numbered configuration that takes the place of the one in force.
+  std::optional<wire::NumberedConfiguration> adopted_;
 };
 
+//! True when the draft leaves everything as it is.
+inline bool
+IsUnchanged(const ChangeDraft& aDraft)
+{
+  return aDraft.groups_.empty() && !aDraft.settingsChanged_ &&
+         !aDraft.adopted_;
+}
+
 //! Carries out the operations on copies of what they touch, each on the
 //! result of those before it. Findings tell what is refused.
 ChangeDraft
--- a/packages/core/configuration/internal/decisions.cpp
+++ b/packages/core/configuration/internal/decisions.cpp
@@ -23,6 +23,18 @@
   return nullptr;
 }
 
+void
+RemoveTarget(wire::GroupState& aGroup, const std::string& aTarget)
+{
+  auto& targets = *aGroup.mutable_targets();
+  targets.erase(std::remove_if(targets.begin(),
+                               targets.end(),
+                               [&](const wire::TargetState& aState) {
+                                 return aState.target() == aTarget;
+                               }),
+                targets.end());
+}
+
 // Highest term that was ever chosen and is still known.
 std::uint64_t
 HighestTerm(const wire::GroupState& aGroup)
@@ -92,14 +104,20 @@
   if (!target) {
     return "unknown target " + aExpel.target();
   }
-  if (!target->counted()) {
+  if (!target->counted() && !aExpel.gone()) {
     return "target " + aExpel.target() + " does not count already";
   }
+  if (aExpel.gone() && aGroup.primary() == aExpel.target()) {
+    return "target " + aExpel.target() + " is the primary";
+  }
   target->set_counted(false);
   if (aGroup.requested_primary() == aExpel.target()) {
     aGroup.clear_requested_primary();
   }
   aGroup.set_reason(aExpel.reason());
+  if (aExpel.gone()) {
+    RemoveTarget(aGroup, aExpel.target());
+  }
   return "";
 }
 
@@ -150,8 +168,18 @@
     return "target " + aConfirm.target() + " was not chosen for term " +
            std::to_string(aConfirm.term());
   }
-  aGroup.mutable_history()->rbegin()->set_start_offset(aConfirm.start_offset());
-  aGroup.set_term(aConfirm.term());
+  // The targets' own count of terms can differ from that of the choices.
+  const std::uint64_t term = aConfirm.adopted_term() != 0
+                               ? aConfirm.adopted_term()
+                               : aConfirm.term();
+  if (!aGroup.primary().empty() && term <= aGroup.term()) {
+    return "term " + std::to_string(term) + " is not above " +
+           std::to_string(aGroup.term());
+  }
+  wire::TermStart& start = *aGroup.mutable_history()->rbegin();
+  start.set_term(term);
+  start.set_start_offset(aConfirm.start_offset());
+  aGroup.set_term(term);
   aGroup.set_primary(aConfirm.target());
   aGroup.set_fenced(false);
   aGroup.clear_promoting();
--- a/packages/core/consensus/consensus.cpp
+++ b/packages/core/consensus/consensus.cpp
@@ -204,6 +204,9 @@
   for (const foundation::HostId& host : aSettings.founders_) {
     members.add_voters(host);
   }
+  for (const auto& [host, address] : aSettings.founderAddresses_) {
+    (*members.mutable_addresses())[host] = address;
+  }
   return members;
 }
 
@@ -238,7 +241,12 @@
   if (aSnapshot.last_index() > 0) {
     ResetTo(state.log_, aSnapshot);
   } else {
-    state.log_.members_ = { { 0, FoundingMembers(aSettings) } };
+    // Those that it has founded with: the settings may name others by now.
+    const auto& founders = state.hardState_.founders();
+    state.log_.members_ = { { 0,
+                              founders.voters().empty()
+                                ? FoundingMembers(aSettings)
+                                : founders } };
   }
   for (const wire::ConsensusEntry& entry : aEntries) {
     if (entry.index() == LastIndex(state.log_) + 1) {
--- a/packages/core/consensus/consensus.h
+++ b/packages/core/consensus/consensus.h
@@ -32,7 +32,10 @@
 {
   foundation::HostId self_;
   //! Voters of the first configuration, this host included when it is one.
+  //! Empty on a host that may only join.
   std::vector<foundation::HostId> founders_;
+  //! Peer addresses of the founders, for whoever learns of them from the log.
+  std::map<foundation::HostId, std::string> founderAddresses_;
   foundation::Duration heartbeatInterval_ = std::chrono::milliseconds(100);
   foundation::Duration electionTimeoutMin_ = std::chrono::milliseconds(400);
   foundation::Duration electionTimeoutMax_ = std::chrono::milliseconds(800);
--- a/packages/core/consensus/internal/recovery.cpp
+++ b/packages/core/consensus/internal/recovery.cpp
@@ -38,6 +38,7 @@
   }
   state.hardState_.set_incarnation(0);
   state.hardState_.set_recovering(false);
+  *state.hardState_.mutable_founders() = Members(state);
   state.withoutPast_.clear();
   aContext.persistNeeded_ = true;
   ResetElection(aContext);
--- /dev/null
+++ b/packages/core/consensus/memberplan.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+
+#include "core/consensus/consensus.h"
+
+namespace wigeonlb::core::consensus {
+
+//! A voter that has not answered the leader for this long is replaced, if
+//! another host can take its place. Longer than a restart takes.
+constexpr foundation::Duration kVoterSilenceMs =
+  std::chrono::milliseconds(2500);
+
+//! Bounds on the number of voters.
+constexpr std::size_t kFewestVoters = 3;
+constexpr std::size_t kMostVoters = 7;
+
+//! A live host that has a disk.
+struct MemberCandidate
+{
+  foundation::HostId host_;
+  std::string address_; //!< of its peer links
+};
+
+//! Voters that outlive the loss of so many disks at once.
+constexpr std::size_t
+VotersFor(std::size_t aLosses)
+{
+  const std::size_t voters = 2 * aLosses + 1;
+  return voters < kFewestVoters
+           ? kFewestVoters
+           : (voters > kMostVoters ? kMostVoters : voters);
+}
+
+//! The leader's next step towards that many voters that answer, or nothing. A
+//! live host that is no member becomes a learner; a learner that has caught up
+//! takes the place of a silent voter, which is removed only after it was
+//! added.
+std::optional<wire::MemberChange>
+PlanMembers(const ConsensusState& aState,
+            std::span<const MemberCandidate> aLive,
+            std::size_t aVoters,
+            foundation::Instant aNow);
+
+} // namespace wigeonlb::core::consensus
--- a/packages/core/failover/failover.h
+++ b/packages/core/failover/failover.h
@@ -73,9 +73,17 @@
 //! operator's request; the rest is caught up once no writes are placed.
 constexpr std::uint64_t kPlannedLagBytes = 64ULL * 1024;
 
+//! The same where targets count commits: about what a replica catches up with
+//! within kCatchUpWaitMs.
+constexpr std::uint64_t kPlannedLagCommits = 32;
+
 //! Wait for a replica to reach a primary that still answers.
 constexpr foundation::Duration kCatchUpWaitMs = std::chrono::milliseconds(400);
 
+//! The same in a planned change, where nothing is lost by waiting but time.
+constexpr foundation::Duration kPlannedCatchUpMs =
+  std::chrono::milliseconds(2000);
+
 //! Pause between two attempts at one planned change.
 constexpr foundation::Duration kPlannedRetryMs =
   std::chrono::milliseconds(10000);
@@ -84,6 +92,10 @@
 //! of a primary that no owner reports on.
 constexpr foundation::Duration kPollMs = std::chrono::milliseconds(250);
 
+//! A target that was neither heard nor reached for this long is forgotten by a
+//! group that needs no majority; it is admitted anew when it announces itself.
+constexpr foundation::Duration kGoneMs = std::chrono::milliseconds(20000);
+
 //! Interval at which silent hosts and targets are looked for.
 constexpr foundation::Duration kExpiryMs = std::chrono::milliseconds(100);
 
@@ -145,6 +157,7 @@
   std::optional<foundation::Instant> promotionSince_;
   std::uint64_t promotionTerm_ = 0; //!< that promotionSince_ is about
   bool promotionGivenUp_ = false;
+  bool promotionTaken_ = false; //!< the order was taken by who carries it out
   //! Of the change of primary under way.
   std::map<foundation::TargetName, FailedPromotion> failedPromotions_;
   foundation::Instant plannedAt_; //!< last attempt at a planned change
@@ -237,6 +250,8 @@
   foundation::TargetName target_;
   std::uint64_t term_ = 0;
   std::optional<wire::TargetReport> report_; //!< none when unreachable
+  //! The order was taken, and will be followed later: it isn't given again.
+  bool taken_ = false;
 };
 using FailoverEvent = std::variant<Tick,
                                    HeartbeatReceived,
@@ -268,6 +283,7 @@
   foundation::GroupName group_;
   foundation::TargetName target_;
   std::string address_;
+  std::uint64_t incarnation_ = 0;
 };
 //! Idempotent by term: a target that is primary of the term answers again.
 //! NOTE The driver reads the status first and promotes on the same connection,
@@ -276,12 +292,15 @@
 //! new term, and replicas that rewind to it would drop acknowledged writes.
 struct OrderPromotion
 {
+  //! Log index of the choice: no two choices share it, and it rises.
+  std::uint64_t fence_ = 0;
   foundation::GroupName group_;
   foundation::TargetName target_;
   std::string address_;
   std::uint64_t term_ = 0;
   std::uint64_t incarnation_ = 0;
   std::uint64_t startOffset_ = 0;
+  std::string dialect_; //!< of the target
 };
 using FailoverAction =
   std::variant<Propose, Reply, SendRevoke, ReadTarget, OrderPromotion>;
--- a/packages/core/failover/internal/calm.cpp
+++ b/packages/core/failover/internal/calm.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/failover/internal/countedtargets.h"
+#include "core/failover/internal/groupcontext.h"
 #include "core/positions/positions.h"
 
 namespace wigeonlb::core::failover {
@@ -79,8 +80,11 @@
   const auto& progress = aContext.progress_;
   const bool planned = !group.requested_primary().empty() &&
                        group.requested_primary() != group.primary();
-  if (planned || !progress.settledAt_ || !progress.waiting_.empty() ||
-      positions::CountedTargets(group) < GroupSize(group)) {
+  const bool unsettled =
+    AcknowledgementOf(group) == Acknowledgement::Majority &&
+    (!progress.settledAt_ ||
+     positions::CountedTargets(group) < GroupSize(group));
+  if (planned || unsettled || !progress.waiting_.empty()) {
     return kNow;
   }
   auto until = Instant::max();
--- a/packages/core/failover/internal/candidates.cpp
+++ b/packages/core/failover/internal/candidates.cpp
@@ -125,6 +125,42 @@
   return best;
 }
 
+//! True when the reads show every write that one replica had to have: they are
+//! of the primary, or of all others.
+bool
+ShowsOneReplica(const GroupContext& aContext,
+                const std::vector<Candidate>& aCandidates)
+{
+  const auto& group = aContext.group_;
+  const auto isPrimary = [&](const Candidate& aCandidate) {
+    return aCandidate.target_->target() == group.primary();
+  };
+  const auto others =
+    std::ranges::count_if(group.targets(), [&](const auto& aTarget) {
+      return aTarget.counted() && aTarget.target() != group.primary();
+    });
+  return std::ranges::any_of(aCandidates, isPrimary) ||
+         std::ssize(aCandidates) == others;
+}
+
+//! Without a majority: whoever has most of what was read. The old primary
+//! itself can't be promoted: that makes no new term.
+std::vector<Candidate>
+LongestLogs(const GroupContext& aContext,
+            const std::vector<Candidate>& aCandidates)
+{
+  const bool strict =
+    AcknowledgementOf(aContext.group_) == Acknowledgement::OneReplica;
+  if (strict && !ShowsOneReplica(aContext, aCandidates)) {
+    return {};
+  }
+  const bool others =
+    std::ranges::any_of(aCandidates, [&](const Candidate& aCandidate) {
+      return aCandidate.target_->target() != aContext.group_.primary();
+    });
+  return others ? aCandidates : std::vector<Candidate>{};
+}
+
 } // namespace
 
 std::vector<Candidate>
@@ -146,6 +182,9 @@
 {
   const auto& guards = aContext.state_.guards_;
   const auto counted = positions::CountedTargets(aContext.group_);
+  if (AcknowledgementOf(aContext.group_) != Acknowledgement::Majority) {
+    return LongestLogs(aContext, aCandidates);
+  }
   const auto needed = guards.majorityRead_ ? positions::MajorityOf(counted) : 1;
   const auto isSafe = [&](const Candidate& aCandidate) {
     const auto notAbove =
@@ -189,6 +228,9 @@
   candidates = Prefer(std::move(candidates), [&](const auto& aCandidate) {
     return !positions::IsDiverged(*aCandidate.report_, group);
   });
+  candidates = Prefer(std::move(candidates), [&](const auto& aCandidate) {
+    return !aCandidate.target_->leaving();
+  });
   const auto chosen = BestOrRequested(aContext, candidates);
   const bool requested =
     IsPlanned(group) && chosen.target_->target() == group.requested_primary();
@@ -198,7 +240,13 @@
   if (requested || (isOther(chosen) && !IsPlanned(group))) {
     return chosen;
   }
-  if (aContext.now_ - *aContext.progress_.safeSince_ < kCatchUpWaitMs) {
+  const bool strict =
+    AcknowledgementOf(group) == Acknowledgement::OneReplica;
+  const auto* primary = positions::FindTarget(group, group.primary());
+  const bool leaves = primary != nullptr && primary->leaving();
+  const auto wait =
+    leaves || IsPlanned(group) ? kPlannedCatchUpMs : kCatchUpWaitMs;
+  if (strict || aContext.now_ - *aContext.progress_.safeSince_ < wait) {
     return std::nullopt;
   }
   return BestOf(aContext, Prefer(std::move(candidates), isOther));
--- a/packages/core/failover/internal/countedtargets.cpp
+++ b/packages/core/failover/internal/countedtargets.cpp
@@ -23,6 +23,9 @@
   state.set_incarnation(aAnnouncement.incarnation());
   state.set_dialect(aAnnouncement.dialect());
   state.set_can_fence(aAnnouncement.can_fence());
+  state.set_checks_positions(aAnnouncement.checks_positions());
+  state.set_slots_by_statement(aAnnouncement.slots_by_statement());
+  state.set_counts_terms(aAnnouncement.counts_terms());
   return state;
 }
 
@@ -62,7 +65,8 @@
     return announcements;
   }
   for (const auto& [name, entry] : group->second) {
-    if (membership::TakesNewWork(aContext.state_.membership_,
+    if (entry.announcement_ &&
+        membership::TakesNewWork(aContext.state_.membership_,
                                  aContext.group_.group(),
                                  name,
                                  aContext.now_)) {
@@ -78,7 +82,8 @@
 AdmitAnnounced(GroupContext& aContext, bool aCounted)
 {
   const auto& group = aContext.group_;
-  const bool room = positions::CountedTargets(group) < GroupSize(group);
+  const bool room = AcknowledgementOf(group) != Acknowledgement::Majority ||
+                    positions::CountedTargets(group) < GroupSize(group);
   for (const auto* announcement : Announcements(aContext)) {
     const auto* known = positions::FindTarget(group, announcement->target());
     if (known != nullptr && SameAnnounced(*known, *announcement)) {
@@ -154,6 +159,95 @@
   ProposeRecord(aContext, std::move(confirmation), "confirm " + reason);
 }
 
+//! A group that needs no majority has no size to wait for: the target that
+//! leads is adopted, once each one was read or is found unreachable.
+void
+AdoptLeader(GroupContext& aContext)
+{
+  const wire::TargetReport* leader = nullptr;
+  bool whole = !aContext.group_.targets().empty();
+  for (const auto& target : aContext.group_.targets()) {
+    OrderRead(aContext, target, kPollMs);
+    const auto* report =
+      OwnReport(aContext, target.target(), aContext.now_ - 4 * kPollMs);
+    const auto& read = aContext.progress_.reads_[target.target()];
+    whole &= report != nullptr ||
+             (read.failingSince_ &&
+              aContext.now_ - *read.failingSince_ >= kLoneSuspicionMs);
+    const bool leads = report != nullptr && report->primary();
+    if (leads && (leader == nullptr ||
+                  report->adopted_term() > leader->adopted_term())) {
+      leader = report;
+    }
+  }
+  if (!whole || leader == nullptr) {
+    Wait(aContext, "waits to read all targets before the first primary");
+    return;
+  }
+  ProposeFirst(aContext, *leader, true);
+}
+
+//! A target that leaves is kept off new work by the replicated state, so that a
+//! new leader knows of it, too.
+bool
+NoteLeaving(GroupContext& aContext)
+{
+  for (const auto& target : aContext.group_.targets()) {
+    const auto* entry = membership::FindTarget(
+      aContext.state_.membership_, aContext.group_.group(), target.target());
+    if (target.leaving() || entry == nullptr || !entry->leaving_ ||
+        entry->incarnation_ != target.incarnation()) {
+      continue;
+    }
+    auto state = target;
+    state.set_leaving(true);
+    ProposeAdmission(aContext, std::move(state), "it leaves");
+    return true;
+  }
+  return false;
+}
+
+//! True for a target that said that it ends, or was neither heard nor reached
+//! for long.
+bool
+IsGone(const GroupContext& aContext, const wire::TargetState& aTarget)
+{
+  const auto* entry = membership::FindTarget(
+    aContext.state_.membership_, aContext.group_.group(), aTarget.target());
+  const bool leads = aContext.now_ - aContext.state_.leadingSince_ >= kGoneMs;
+  if (entry == nullptr) {
+    return leads;
+  }
+  if (entry->announcement_ && entry->announcement_->gone() &&
+      entry->incarnation_ == aTarget.incarnation()) {
+    return true;
+  }
+  return leads && aContext.now_ - entry->announcedAt_ >= kGoneMs &&
+         !membership::TakesNewWork(aContext.state_.membership_,
+                                   aContext.group_.group(),
+                                   aTarget.target(),
+                                   aContext.now_);
+}
+
+void
+ForgetOneGone(GroupContext& aContext)
+{
+  for (const auto& target : aContext.group_.targets()) {
+    if (target.target() == aContext.group_.primary() ||
+        !IsGone(aContext, target)) {
+      continue;
+    }
+    wire::ControlRecord record;
+    record.mutable_expel()->set_group(aContext.group_.group());
+    record.mutable_expel()->set_target(target.target());
+    record.mutable_expel()->set_reason("it is gone");
+    record.mutable_expel()->set_gone(true);
+    ProposeRecord(
+      aContext, std::move(record), "forget " + target.target() + ": gone");
+    return;
+  }
+}
+
 //! True when every holder of a grant knows the counted targets in force.
 bool
 InForceAtHolders(const GroupContext& aContext)
@@ -384,7 +478,10 @@
          aState.connection_limit() == aAnnouncement.connection_limit() &&
          aState.incarnation() == aAnnouncement.incarnation() &&
          aState.dialect() == aAnnouncement.dialect() &&
-         aState.can_fence() == aAnnouncement.can_fence();
+         aState.can_fence() == aAnnouncement.can_fence() &&
+         aState.checks_positions() == aAnnouncement.checks_positions() &&
+         aState.slots_by_statement() == aAnnouncement.slots_by_statement() &&
+         aState.counts_terms() == aAnnouncement.counts_terms();
 }
 
 void
@@ -394,6 +491,10 @@
   if (AdmitAnnounced(aContext, true)) {
     return;
   }
+  if (AcknowledgementOf(group) != Acknowledgement::Majority) {
+    AdoptLeader(aContext);
+    return;
+  }
   const auto counted = positions::CountedTargets(group);
   if (counted < GroupSize(group)) {
     Wait(aContext,
@@ -428,6 +529,15 @@
 void
 StepCountedTargets(GroupContext& aContext)
 {
+  if (NoteLeaving(aContext)) {
+    return;
+  }
+  if (AcknowledgementOf(aContext.group_) != Acknowledgement::Majority) {
+    if (!AdmitAnnounced(aContext, true)) {
+      ForgetOneGone(aContext);
+    }
+    return;
+  }
   WaitForMajority(aContext);
   const auto settledAt = SettledAt(aContext);
   if (!settledAt || ProposalPending(aContext)) {
--- a/packages/core/failover/internal/groupcontext.cpp
+++ b/packages/core/failover/internal/groupcontext.cpp
@@ -101,7 +101,8 @@
   aContext.actions_.push_back(ReadTarget{ read.number_,
                                           aContext.group_.group(),
                                           aTarget.target(),
-                                          aTarget.address() });
+                                          aTarget.address(),
+                                          aTarget.incarnation() });
 }
 
 const wire::TargetReport*
@@ -123,6 +124,17 @@
   aContext.progress_.waiting_ = std::move(aReason);
 }
 
+Acknowledgement
+AcknowledgementOf(const wire::GroupState& aGroup)
+{
+  const auto text = configuration::OptionText(aGroup, "acknowledge");
+  if (text == "primary") {
+    return Acknowledgement::Primary;
+  }
+  return text == "one_replica" ? Acknowledgement::OneReplica
+                               : Acknowledgement::Majority;
+}
+
 std::size_t
 GroupSize(const wire::GroupState& aGroup)
 {
--- a/packages/core/failover/internal/groupcontext.h
+++ b/packages/core/failover/internal/groupcontext.h
@@ -56,6 +56,16 @@
 void
 Wait(GroupContext& aContext, std::string aReason);
 
+//! Who must have a write before it is acknowledged, by the group's option.
+enum class Acknowledgement
+{
+  Majority,
+  OneReplica,
+  Primary,
+};
+Acknowledgement
+AcknowledgementOf(const wire::GroupState& aGroup);
+
 //! The group's option `size`.
 std::size_t
 GroupSize(const wire::GroupState& aGroup);
--- a/packages/core/failover/internal/plannedchange.cpp
+++ b/packages/core/failover/internal/plannedchange.cpp
@@ -24,9 +24,14 @@
       !positions::CountsForMajority(report->report_, group)) {
     return "doesn't report";
   }
+  if (target->leaving()) {
+    return "leaves";
+  }
   const auto reached = positions::WrittenPosition(report->report_, group);
+  const auto allowed =
+    target->counts_terms() ? kPlannedLagCommits : kPlannedLagBytes;
   const bool near =
-    reached.offset_ + kPlannedLagBytes >= primary->report_.synced_offset();
+    reached.offset_ + allowed >= primary->report_.synced_offset();
   return near && reached.term_ == group.term() ? "" : "has not caught up";
 }
 
@@ -38,8 +43,9 @@
   const auto& group = aContext.group_;
   const auto* entry = membership::FindTarget(
     aContext.state_.membership_, group.group(), group.primary());
-  const bool leaves =
-    entry != nullptr && entry->announcement_ && entry->announcement_->leaving();
+  const auto* primary = positions::FindTarget(group, group.primary());
+  const bool leaves = (entry != nullptr && entry->leaving_) ||
+                      (primary != nullptr && primary->leaving());
   if (!group.requested_primary().empty() || !leaves) {
     return group.requested_primary();
   }
--- a/packages/core/failover/internal/promotion.cpp
+++ b/packages/core/failover/internal/promotion.cpp
@@ -127,16 +127,19 @@
 {
   auto& progress = aContext.progress_;
   const auto& ordered = progress.promotionOrderedAt_;
-  if (ordered && aContext.now_ - *ordered < kRetryMs) {
+  if (progress.promotionTaken_ ||
+      (ordered && aContext.now_ - *ordered < kRetryMs)) {
     return;
   }
   progress.promotionOrderedAt_ = aContext.now_;
-  aContext.actions_.push_back(OrderPromotion{ aContext.group_.group(),
+  aContext.actions_.push_back(OrderPromotion{ aContext.group_.choice_index(),
+                                              aContext.group_.group(),
                                               aTarget.target(),
                                               aTarget.address(),
                                               progress.promotionTerm_,
                                               aTarget.incarnation(),
-                                              ChosenStart(aContext.group_) });
+                                              ChosenStart(aContext.group_),
+                                              aTarget.dialect() });
 }
 
 //! The chosen target went back behind the start of its term, or began anew:
@@ -150,6 +153,53 @@
          aReport.synced_offset() >= ChosenStart(group);
 }
 
+//! True when the chosen target leads its term. One that counts terms itself
+//! leads whatever term came next.
+bool
+LeadsChoice(const GroupContext& aContext, const wire::TargetReport& aReport)
+{
+  const auto& group = aContext.group_;
+  const auto* target = positions::FindTarget(group, aReport.target());
+  if (target == nullptr || !aReport.primary() ||
+      !IsChosenLog(aContext, aReport)) {
+    return false;
+  }
+  return target->counts_terms()
+           ? aReport.adopted_term() > group.term()
+           : aReport.adopted_term() == LastChosenTerm(group);
+}
+
+void
+ProposeConfirmation(GroupContext& aContext, const wire::TargetReport& aReport)
+{
+  const auto& group = aContext.group_;
+  wire::ControlRecord record;
+  auto* confirm = record.mutable_confirm();
+  confirm->set_group(group.group());
+  confirm->set_term(LastChosenTerm(group));
+  confirm->set_target(aReport.target());
+  confirm->set_start_offset(aReport.synced_offset());
+  confirm->set_adopted_term(aReport.adopted_term());
+  ProposeRecord(aContext,
+                std::move(record),
+                "confirm " + aReport.target() + " as primary of " +
+                  TermText(aReport.adopted_term()));
+}
+
+//! A promotion that somebody else carries out is seen by reading the target.
+bool
+ConfirmByRead(GroupContext& aContext)
+{
+  const auto& progress = aContext.progress_;
+  const auto* report = OwnReport(
+    aContext, aContext.group_.promoting(), *progress.promotionSince_);
+  if (report == nullptr || !LeadsChoice(aContext, *report)) {
+    return false;
+  }
+  ProposeConfirmation(aContext, *report);
+  return true;
+}
+
 //! True once another choice is due: the chosen target is silent, or takes
 //! longer than the group allows.
 bool
@@ -250,8 +300,12 @@
     return;
   }
   progress.safeSince_ = progress.safeSince_.value_or(aContext.now_);
+  // Without a majority nothing but the reads tells who has most.
+  const bool majority =
+    AcknowledgementOf(aContext.group_) == Acknowledgement::Majority;
+  const auto grace = majority ? kReadGraceMs : kAnswerTimeoutMs;
   if (!AllAnswered(aContext, aSince) &&
-      aContext.now_ - *progress.safeSince_ < kReadGraceMs) {
+      aContext.now_ - *progress.safeSince_ < grace) {
     return;
   }
   const auto chosen = Choose(aContext, safe);
@@ -317,10 +371,14 @@
     progress.promotionSince_ = aContext.now_;
     progress.promotionOrderedAt_.reset();
     progress.promotionGivenUp_ = false;
+    progress.promotionTaken_ = false;
   }
   const auto* target = positions::FindTarget(group, group.promoting());
   Wait(aContext,
        "waits for " + group.promoting() + " to lead " + TermText(term));
+  if (ConfirmByRead(aContext)) {
+    return;
+  }
   if (!GivesUp(aContext, target)) {
     OrderChosen(aContext, *target);
     return;
@@ -342,6 +400,10 @@
   const auto& group = aContext.group_;
   const bool current = group.promoting() == aAnswer.target_ &&
                        LastChosenTerm(group) == aAnswer.term_;
+  if (current && aAnswer.taken_) {
+    aContext.progress_.promotionTaken_ = true;
+    Remember(aContext, "the promotion of " + aAnswer.target_ + " was taken");
+  }
   if (!current || !aAnswer.report_ || ProposalPending(aContext)) {
     return;
   }
@@ -351,20 +413,9 @@
     GiveUp(aContext);
     return;
   }
-  if (!report.primary() || report.adopted_term() != aAnswer.term_ ||
-      !IsChosenLog(aContext, report)) {
-    return;
+  if (LeadsChoice(aContext, report)) {
+    ProposeConfirmation(aContext, report);
   }
-  wire::ControlRecord record;
-  auto* confirm = record.mutable_confirm();
-  confirm->set_group(group.group());
-  confirm->set_term(aAnswer.term_);
-  confirm->set_target(aAnswer.target_);
-  confirm->set_start_offset(report.synced_offset());
-  ProposeRecord(aContext,
-                std::move(record),
-                "confirm " + aAnswer.target_ + " as primary of " +
-                  TermText(aAnswer.term_));
 }
 
 } // namespace wigeonlb::core::failover
--- a/packages/core/grants/holder.cpp
+++ b/packages/core/grants/holder.cpp
@@ -124,6 +124,25 @@
   }
 }
 
+void
+TakeMembers(HolderState& aState, const MembersChanged& aChanged)
+{
+  aState.membersIndex_ = aChanged.index_;
+  if (aChanged.members_ == aState.members_ || aChanged.members_.empty()) {
+    return;
+  }
+  const auto followed = aState.members_.empty()
+                          ? foundation::HostId{}
+                          : aState.members_[aState.followed_];
+  aState.members_ = aChanged.members_;
+  const auto place = std::ranges::find(aState.members_, followed);
+  const bool stays = place != aState.members_.end();
+  aState.followed_ =
+    stays ? static_cast<std::size_t>(place - aState.members_.begin())
+          : aState.random_() % aState.members_.size();
+  aState.silentUntil_ = {};
+}
+
 //! The other hosts stop choosing this owner; its grants go on until what is in
 //! flight has drained.
 void
@@ -184,6 +203,7 @@
       [&](const RevisionInForce& aRevision) {
         aState.revision_ = aRevision.revision_;
       },
+      [&](const MembersChanged& aChanged) { TakeMembers(aState, aChanged); },
       [&](const DrainingStarted&) { StartDraining(aState); },
     },
     aEvent);
--- a/packages/core/grants/holder.h
+++ b/packages/core/grants/holder.h
@@ -65,6 +65,7 @@
 {
   wire::HostInfo self_;
   std::vector<foundation::HostId> members_;
+  std::uint64_t membersIndex_ = 0; //!< of the change that named them
   std::size_t followed_ = 0;        //!< index into members_
   std::size_t silent_ = 0;          //!< member that was given up last
   foundation::Instant silentUntil_; //!< hints to it are not taken before
@@ -136,6 +137,13 @@
 {
   std::uint64_t revision_ = 0;
 };
+//! The control members are these, as a member told. The followed one stays if
+//! it is among them.
+struct MembersChanged
+{
+  std::vector<foundation::HostId> members_;
+  std::uint64_t index_ = 0; //!< of the change, for the heartbeat
+};
 //! The host is shutting down. Its grants go on until DrainedForRelease.
 struct DrainingStarted
 {};
@@ -147,6 +155,7 @@
                                  DrainedForRelease,
                                  ShareInUse,
                                  RevisionInForce,
+                                 MembersChanged,
                                  DrainingStarted>;
 
 struct SendHeartbeat
--- a/packages/core/grants/internal/holdercontact.cpp
+++ b/packages/core/grants/internal/holdercontact.cpp
@@ -79,6 +79,7 @@
   heartbeat.set_revision_in_force(aState.revision_);
   heartbeat.set_hosts_version(aState.hostsVersion_);
   heartbeat.set_last_reply(aState.lastReply_);
+  heartbeat.set_members_index(aState.membersIndex_);
   for (auto& [key, item] : aState.announcements_) {
     *heartbeat.add_announcements() = item.first;
     item.second = item.second == 0 ? aState.sequence_ : item.second;
--- a/packages/core/grants/owners.cpp
+++ b/packages/core/grants/owners.cpp
@@ -64,7 +64,7 @@
   std::vector<Candidate> candidates;
   for (const auto& host : aHosts) {
     const bool near = dataCentres.contains(host.data_centre());
-    if (!host.draining() && (aAnyDataCentre || near)) {
+    if (!host.draining() && !host.control_only() && (aAnyDataCentre || near)) {
       candidates.push_back(CandidateOf(host, seed));
     }
   }
@@ -131,7 +131,7 @@
        const wire::HostInfo& aHost,
        std::size_t aCount)
 {
-  if (aHost.draining()) {
+  if (aHost.draining() || aHost.control_only()) {
     return false;
   }
   const bool near = HasTargetIn(aGroup, aHost.data_centre());
@@ -165,6 +165,10 @@
   if (aGroup.targets().empty()) {
     return 0;
   }
+  const auto set = configuration::OptionNumber(aGroup, "connection_limit");
+  if (set > 0) {
+    return static_cast<std::uint32_t>(set);
+  }
   auto limit = aGroup.targets(0).connection_limit();
   for (const auto& target : aGroup.targets()) {
     limit = std::min(limit, target.connection_limit());
@@ -187,7 +191,8 @@
 {
   std::uint32_t slots = 0;
   for (const auto& target : aGroup.targets()) {
-    if (target.slots() == 0) {
+    // Open transactions hold connections there, but no slots.
+    if (target.slots() == 0 || target.slots_by_statement()) {
       return std::numeric_limits<std::uint32_t>::max();
     }
     slots = std::max(slots, target.slots());
--- a/packages/core/membership/membership.cpp
+++ b/packages/core/membership/membership.cpp
@@ -1,6 +1,7 @@
 #include "core/membership/membership.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wigeonlb::core::membership {
 
@@ -17,6 +18,18 @@
          aLeft.boot() == aRight.boot() && aLeft.draining() == aRight.draining();
 }
 
+//! Whether some observer has reached the target lately: its announcements may
+//! only be held up. One that never announced itself here doesn't count.
+bool
+WasReached(const TargetEntry& aEntry, Instant aNow)
+{
+  return aEntry.incarnation_ != 0 &&
+         std::ranges::any_of(aEntry.observations_, [&](const auto& aItem) {
+           return aItem.second.report_.reachable() &&
+                  aNow - aItem.second.probedAt_ <= kTargetSilenceMs;
+         });
+}
+
 } // namespace
 
 bool
@@ -75,14 +88,28 @@
   return hosts;
 }
 
-void
+bool
 NoteAnnouncement(MembershipState& aState,
                  const wire::Announcement& aAnnouncement,
                  Instant aNow)
 {
   auto& entry = aState.targets_[aAnnouncement.group()][aAnnouncement.target()];
+  // Without sequences, announcements count in the order in which they come.
+  const bool late =
+    aAnnouncement.sequence() != 0 &&
+    std::pair(aAnnouncement.incarnation(), aAnnouncement.sequence()) <
+      std::pair(entry.incarnation_, entry.sequence_);
+  if (late) {
+    return false;
+  }
+  const bool same = entry.incarnation_ == aAnnouncement.incarnation();
+  entry.leaving_ = aAnnouncement.leaving() ||
+                   (same && entry.leaving_ && aAnnouncement.sequence() != 0);
+  entry.incarnation_ = aAnnouncement.incarnation();
+  entry.sequence_ = aAnnouncement.sequence();
   entry.announcement_ = aAnnouncement;
   entry.announcedAt_ = aNow;
+  return true;
 }
 
 void
@@ -166,9 +193,12 @@
              Instant aNow)
 {
   const auto* entry = FindTarget(aState, aGroup, aTarget);
-  return entry != nullptr && entry->announcement_.has_value() &&
-         !entry->announcement_->leaving() &&
-         aNow - entry->announcedAt_ <= kTargetSilenceMs;
+  if (entry == nullptr || entry->leaving_) {
+    return false;
+  }
+  const bool announced = entry->announcement_.has_value() &&
+                         aNow - entry->announcedAt_ <= kTargetSilenceMs;
+  return announced || WasReached(*entry, aNow);
 }
 
 const Observation*
--- a/packages/core/membership/membership.h
+++ b/packages/core/membership/membership.h
@@ -44,6 +44,10 @@
 {
   std::optional<wire::Announcement> announcement_;
   foundation::Instant announcedAt_;
+  //! Of the newest announcement taken; older ones are late.
+  std::uint64_t incarnation_ = 0;
+  std::uint64_t sequence_ = 0;
+  bool leaving_ = false; //!< this incarnation said so
   std::map<foundation::HostId, Observation> observations_;
 };
 
@@ -73,8 +77,9 @@
 std::vector<wire::HostInfo>
 AliveHosts(const MembershipState& aState);
 
-//! Notes an announcement that arrived at aNow.
-void
+//! Notes an announcement that arrived at aNow. Returns false for one that is
+//! older than the last taken of the target; it changes nothing.
+bool
 NoteAnnouncement(MembershipState& aState,
                  const wire::Announcement& aAnnouncement,
                  foundation::Instant aNow);
@@ -106,7 +111,8 @@
            std::string_view aGroup,
            std::string_view aTarget);
 
-//! False for a target that is leaving or was silent for kTargetSilenceMs.
+//! False for a target that is leaving, or that neither announced itself nor was
+//! reached by an observer for kTargetSilenceMs.
 bool
 TakesNewWork(const MembershipState& aState,
              std::string_view aGroup,
--- a/packages/core/pool/targetpool.cpp
+++ b/packages/core/pool/targetpool.cpp
@@ -81,14 +81,18 @@
 bool
 HasFreeSlot(const TargetPool& aPool)
 {
-  return aPool.busy_ + aPool.pinned_ < aPool.slots_;
+  const std::uint32_t pinned = aPool.pinnedHoldSlots_ ? aPool.pinned_ : 0;
+  return aPool.busy_ + pinned < aPool.slots_;
 }
 
 std::uint32_t
 CountMissing(const TargetPool& aPool, std::uint32_t aWaiting)
 {
   const auto have = static_cast<std::uint32_t>(CountConnections(aPool));
-  const std::uint32_t wanted = std::min(aPool.share_, aPool.slots_ + aWaiting);
+  // Connections in transactions that hold no slot are beside those that do.
+  const std::uint32_t beside = aPool.pinnedHoldSlots_ ? 0 : aPool.pinned_;
+  const std::uint32_t wanted =
+    std::min(aPool.share_, aPool.slots_ + beside + aWaiting);
   return wanted > have ? wanted - have : 0;
 }
 
--- a/packages/core/pool/targetpool.h
+++ b/packages/core/pool/targetpool.h
@@ -38,8 +38,10 @@
 {
   //! Most that may be open or opening.
   std::uint32_t share_ = 0;
-  //! Most that may be busy or pinned.
+  //! Most that may be busy, or busy and pinned.
   std::uint32_t slots_ = 1;
+  //! An open transaction holds its slot between two statements.
+  bool pinnedHoldSlots_ = true;
 
   //! Idle ones, the last used first.
   intrusive::list<PooledConnection> idle_;
--- a/packages/core/traffic/actions.h
+++ b/packages/core/traffic/actions.h
@@ -41,12 +41,15 @@
   //! The statement was classified as a read, for any target or the primary: it
   //! must run in a read-only transaction, also at the primary (`SET TRANSACTION
   //! READ ONLY` first in the same message), so that a lock, or a write hidden
-  //! in a view or an operator, is answered with 25006 and comes back as a
+  //! in a view or an operator, is refused and comes back as a
   //! write.
   bool readOnly_ = false;
   //! Ask first, in the same message, whether the open transaction has written;
   //! StatementFinished tells.
   bool asksWrote_ = false;
+  //! The target refuses the statement as behind unless its log has this. Term 0
+  //! when nothing is asked for, or the target doesn't check.
+  LogPosition floor_ = {};
 };
 
 //! Pass the rows on.
--- a/packages/core/traffic/events.h
+++ b/packages/core/traffic/events.h
@@ -128,6 +128,15 @@
   bool rowsPassedOn_ = true;
 };
 
+//! Why a target ran nothing of a statement.
+enum class Refusal
+{
+  None,     //!< it may have run
+  Busy,     //!< no slot or connection is free
+  ReadOnly, //!< it doesn't lead, or the transaction only reads
+  Behind,   //!< its log lacks the floor that was sent along
+};
+
 //! The target's ReadyForQuery after a statement, also of one that was dropped.
 struct StatementFinished
 {
@@ -144,6 +153,9 @@
   //! The target holds the request key of an earlier run of the same request,
   //! and ran nothing now. The answer is held for Finish.
   bool alreadyDone_ = false;
+  //! Where the target's log ends for reads, from targets that tell.
+  std::optional<LogPosition> position_ = std::nullopt;
+  Refusal refusal_ = Refusal::None;
 };
 
 //! The probe that travels with a read was answered; rows are held back until
--- a/packages/core/traffic/internal/acknowledgement.cpp
+++ b/packages/core/traffic/internal/acknowledgement.cpp
@@ -5,6 +5,7 @@
 
 #include "core/positions/positions.h"
 #include "core/traffic/internal/connections.h"
+#include "core/traffic/internal/floors.h"
 #include "core/traffic/internal/grants.h"
 #include "core/traffic/internal/outcomes.h"
 #include "core/traffic/internal/probes.h"
@@ -98,6 +99,8 @@
          aEvent.position_ >= aConnection.knownBefore_;
 }
 
+} // namespace
+
 // The position was read from the primary's own disk.
 void
 RaisePrimary(Context& aContext,
@@ -118,8 +121,6 @@
   }
 }
 
-} // namespace
-
 MajorityDelay
 PredictMajorityDelay(const Context& aContext)
 {
@@ -151,7 +152,8 @@
 IsMajorityTooLate(const Context& aContext, Duration aLeft)
 {
   Group& group = aContext.group_;
-  if (!group.settings_.guards_.refuseWhenLagging_) {
+  if (!group.settings_.guards_.refuseWhenLagging_ ||
+      !group.settings_.majorityAcknowledges_) {
     return false;
   }
   const MajorityDelay delay = PredictMajorityDelay(aContext);
@@ -208,9 +210,51 @@
       aContext, request, "the primary's log did not go on from where it was");
     return;
   }
-  request.commit_ = aEvent.position_;
-  request.phase_ = Phase::Majority;
-  group.majorityWaiters_.push_back(request);
+  AwaitAcknowledgement(aContext, request, aEvent.position_);
+}
+
+void
+AwaitAcknowledgement(Context& aContext,
+                     Request& aRequest,
+                     const LogPosition& aCommit)
+{
+  Group& group = aContext.group_;
+  aRequest.commit_ = aCommit;
+  if (group.settings_.majorityAcknowledges_) {
+    aRequest.phase_ = Phase::Majority;
+    group.majorityWaiters_.push_back(aRequest);
+    return;
+  }
+  if (GrantHolds(group, aRequest.term_, aContext.now_) ||
+      !group.settings_.guards_.grantAtAcknowledgement_) {
+    Acknowledge(aContext, aRequest);
+    return;
+  }
+  FinishUnknown(aContext,
+                aRequest,
+                "the right to write ended before the commit was acknowledged");
+}
+
+void
+TakeCommitPosition(Context& aContext,
+                   Connection& aConnection,
+                   Request& aRequest,
+                   const LogPosition& aPosition)
+{
+  const CommitPositionRead read{ aConnection.id_,
+                                 InGrantTerm(aContext.group_, aPosition),
+                                 std::nullopt };
+  const bool continues =
+    ContinuesLog(aContext.group_, aConnection, read);
+  aRequest.connection_ = 0;
+  PutBack(aContext, aConnection);
+  if (!continues) {
+    FinishUnknown(aContext,
+                  aRequest,
+                  "the primary's log did not go on from where it was");
+    return;
+  }
+  AwaitAcknowledgement(aContext, aRequest, read.position_);
 }
 
 void
--- a/packages/core/traffic/internal/acknowledgement.h
+++ b/packages/core/traffic/internal/acknowledgement.h
@@ -29,6 +29,27 @@
                     Connection& aConnection,
                     Request& aRequest);
 
+//! The target told the commit's position with its answer.
+void
+TakeCommitPosition(Context& aContext,
+                   Connection& aConnection,
+                   Request& aRequest,
+                   const LogPosition& aPosition);
+
+//! The commit is at this position: it waits for a majority, or is acknowledged
+//! under the grant, as the group's option says.
+void
+AwaitAcknowledgement(Context& aContext,
+                     Request& aRequest,
+                     const LogPosition& aCommit);
+
+//! Takes in a position that the primary told, as of when it was asked.
+void
+RaisePrimary(Context& aContext,
+             Target& aTarget,
+             const LogPosition& aPosition,
+             Instant aSentAt);
+
 void
 OnCommitPositionRead(Context& aContext, const CommitPositionRead& aEvent);
 
--- a/packages/core/traffic/internal/answers.cpp
+++ b/packages/core/traffic/internal/answers.cpp
@@ -5,6 +5,7 @@
 #include "core/traffic/internal/acknowledgement.h"
 #include "core/traffic/internal/connections.h"
 #include "core/traffic/internal/dispatch.h"
+#include "core/traffic/internal/floors.h"
 #include "core/traffic/internal/grants.h"
 #include "core/traffic/internal/outcomes.h"
 #include "core/traffic/internal/probes.h"
@@ -14,7 +15,12 @@
 
 namespace {
 
-constexpr std::string_view kReadOnlyError = "25006";
+//! Pause before a target that was behind is asked for the same floor again:
+//! about the usual lag.
+constexpr Duration kBehindPause = 10ms;
+
+//! Advice with a statement that every target refused.
+constexpr Duration kRefusedRetryAfter = 50ms;
 
 bool
 IsOnPrimary(const Request& aRequest)
@@ -22,21 +28,13 @@
   return aRequest.term_ != 0;
 }
 
-// Ran read-only, outside a transaction.
-bool
-IsRead(const Request& aRequest)
-{
-  return aRequest.class_ == wire::STATEMENT_READ ||
-         aRequest.class_ == wire::STATEMENT_PRIMARY_READ;
-}
-
 // Errors that another replica may not give: conflicts with replay, shutdown,
-// exhausted resources.
+// exhausted resources, failures of the server's own system.
 bool
 IsReplicaTrouble(std::string_view aSqlstate)
 {
   return aSqlstate.starts_with("40") || aSqlstate.starts_with("53") ||
-         aSqlstate.starts_with("57P");
+         aSqlstate.starts_with("57P") || aSqlstate.starts_with("58");
 }
 
 bool
@@ -63,8 +61,9 @@
   if (!group.settings_.guards_.oneHandOver_) {
     return true;
   }
-  const bool safe =
-    aRequest.class_ == wire::STATEMENT_READ || aRequest.repeatable_;
+  const bool safe = aRequest.class_ == wire::STATEMENT_READ ||
+                    aRequest.class_ == wire::STATEMENT_BEGIN_READ ||
+                    aRequest.repeatable_;
   if (!safe || aRequest.inTransaction_ || aRequest.accepted_ ||
       aRequest.attempts_ >= group.settings_.readAttempts_) {
     return false;
@@ -97,8 +96,17 @@
   }
 }
 
-// The time for which a slot is held: a transaction's from its first statement
-// to its last.
+// Statements that take no slot's time worth measuring.
+bool
+IsControlStatement(const Request& aRequest)
+{
+  return aRequest.class_ == wire::STATEMENT_BEGIN ||
+         aRequest.class_ == wire::STATEMENT_BEGIN_READ ||
+         aRequest.class_ == wire::STATEMENT_ROLLBACK;
+}
+
+// The time for which a slot is held: that of a statement, or, where open
+// transactions hold their slots, from its first statement to its last.
 void
 MeasureService(Context& aContext,
                const Connection& aConnection,
@@ -110,11 +118,14 @@
   const Duration spent = aContext.now_ - aConnection.since_;
   routing::CountAnswer(aConnection.target_->health_, spent);
   JudgeReplicas(aContext);
-  if (aStatus != 'I') {
+  const bool byStatement =
+    aConnection.target_->state_.slots_by_statement();
+  if (byStatement ? IsControlStatement(aRequest) : aStatus != 'I') {
     return;
   }
-  const Duration held =
-    aRequest.inTransaction_ ? aContext.now_ - aSession.begunAt_ : spent;
+  const Duration held = aRequest.inTransaction_ && !byStatement
+                          ? aContext.now_ - aSession.begunAt_
+                          : spent;
   admission::Measure(
     IsOnPrimary(aRequest) ? group.primaryService_ : group.readService_, held);
 }
@@ -149,6 +160,32 @@
                     aContext.now_);
 }
 
+// The target ran nothing: another one, or the same later, may be asked.
+void
+RouteRefused(Context& aContext,
+             Target& aTarget,
+             const LogPosition& aFloor,
+             Request& aRequest)
+{
+  if (aFloor.offset_ != 0) {
+    aTarget.refusedFloor_ = aFloor;
+    aTarget.refusedUntil_ = aContext.now_ + kBehindPause;
+  }
+  --aRequest.handOvers_;
+  aRequest.avoid_ = aTarget.state_.target();
+  aRequest.accepted_ = false;
+  aRequest.term_ = 0;
+  if (aRequest.attempts_ >= aContext.group_.settings_.readAttempts_) {
+    FinishNotRun(aContext,
+                 aRequest,
+                 "57P03",
+                 "the group's targets refused the statement",
+                 kRefusedRetryAfter);
+    return;
+  }
+  Route(aContext, aRequest);
+}
+
 void
 FinishError(Context& aContext,
             Connection& aConnection,
@@ -157,11 +194,19 @@
             const StatementFinished& aEvent)
 {
   const bool replicaRead = !aRequest.inTransaction_ && !IsOnPrimary(aRequest);
-  const bool readOnly = aEvent.sqlstate_ == kReadOnlyError;
+  const bool readOnly = aEvent.refusal_ == Refusal::ReadOnly;
+  const bool refused = aEvent.refusal_ == Refusal::Behind ||
+                       aEvent.refusal_ == Refusal::Busy;
   aRequest.connection_ = 0;
+  Target& target = *aConnection.target_;
+  const LogPosition floor = aConnection.floor_;
   Settle(
     aContext, aConnection, aSession, aRequest.term_, aEvent.transactionStatus_);
-  if (readOnly && !aRequest.inTransaction_ && IsRead(aRequest)) {
+  if (refused && !aRequest.inTransaction_) {
+    RouteRefused(aContext, target, floor, aRequest);
+    return;
+  }
+  if (readOnly && !aRequest.inTransaction_ && IsRead(aRequest.class_)) {
     // It writes or locks after all, and was not run: the primary runs it, once.
     --aRequest.handOvers_;
     aRequest.mustBePrimary_ = true;
@@ -172,6 +217,7 @@
   }
   if (readOnly && !aRequest.inTransaction_) {
     --aRequest.handOvers_;
+    WakeProbe(aContext, target);
     FinishNotRun(
       aContext, aRequest, "57P03", "the target is not the primary", 200ms);
     return;
@@ -195,9 +241,10 @@
 
 // Statements that all look like reads may still have written, through a view or
 // a function that the parser can't see: a target that can't tell counts as one
-// that wrote.
+// that wrote. Those that check positions have no such statements.
 bool
 NeedsAcknowledgement(const Context& aContext,
+                     const Connection& aConnection,
                      const Session& aSession,
                      const Request& aRequest,
                      const StatementFinished& aEvent)
@@ -208,10 +255,15 @@
   if (aEvent.alreadyDone_) {
     return true;
   }
+  if (aRequest.inTransaction_ && aSession.term_ == 0) {
+    return false; // at a replica
+  }
   if (aRequest.inTransaction_) {
-    const bool wrote = aSession.wrote_ ||
-                       aEvent.wrote_.value_or(
-                         aContext.group_.settings_.guards_.asksWhetherWritten_);
+    const bool wrote =
+      aSession.wrote_ ||
+      (!aConnection.target_->state_.checks_positions() &&
+       aEvent.wrote_.value_or(
+         aContext.group_.settings_.guards_.asksWhetherWritten_));
     return aRequest.class_ == wire::STATEMENT_COMMIT && wrote &&
            !aSession.failed_;
   }
@@ -227,12 +279,17 @@
 {
   const char status = aEvent.transactionStatus_;
   aRequest.alreadyDone_ = aEvent.alreadyDone_;
-  if (NeedsAcknowledgement(aContext, aSession, aRequest, aEvent)) {
+  if (NeedsAcknowledgement(
+        aContext, aConnection, aSession, aRequest, aEvent)) {
     aSession.pinned_ = 0;
     aSession.wrote_ = false;
     // From here on the outcome no longer depends on the transaction.
     aRequest.inTransaction_ = false;
-    AwaitCommitPosition(aContext, aConnection, aRequest);
+    if (aEvent.position_) {
+      TakeCommitPosition(aContext, aConnection, aRequest, *aEvent.position_);
+    } else {
+      AwaitCommitPosition(aContext, aConnection, aRequest);
+    }
     return;
   }
   // A transaction with a key begins by writing it.
@@ -242,7 +299,8 @@
   Settle(aContext, aConnection, aSession, aRequest.term_, status);
   Finish finish = TargetAnswer(aRequest, wire::OUTCOME_DONE);
   finish.transactionStatus_ = status;
-  if (aRequest.class_ == wire::STATEMENT_READ && !aRequest.inTransaction_) {
+  const bool alone = !aRequest.inTransaction_;
+  if (alone && IsRead(aRequest.class_)) {
     CountReadServer(aContext, aRequest);
     finish.byReplica_ = !IsOnPrimary(aRequest);
     finish.position_ = aRequest.freshFloor_ ? aRequest.floor_ : LogPosition{};
@@ -250,6 +308,43 @@
   FinishRequest(aContext, aRequest, std::move(finish));
 }
 
+// An answer tells as much as a status of what the target was: the report stays
+// fresh without one.
+void
+NoteHeard(Context& aContext, Target& aTarget, const LogPosition& aPosition)
+{
+  if (!aTarget.report_ || aTarget.probe_.failed_) {
+    return;
+  }
+  auto& report = *aTarget.report_;
+  report.set_applied_offset(aPosition.offset_);
+  report.set_synced_offset(
+    std::max<std::uint64_t>(report.synced_offset(), aPosition.offset_));
+  aTarget.reportAt_ = aContext.now_;
+}
+
+// Where the target's log ends, as its answer told.
+void
+TakePosition(Context& aContext,
+             const Connection& aConnection,
+             const Request& aRequest,
+             const StatementFinished& aEvent)
+{
+  Group& group = aContext.group_;
+  if (!aEvent.position_) {
+    return;
+  }
+  Target& target = *aConnection.target_;
+  NoteHeard(aContext, target, *aEvent.position_);
+  if (aRequest.term_ != 0) {
+    const LogPosition position = InGrantTerm(group, *aEvent.position_);
+    RaisePrimary(aContext, target, position, aConnection.since_);
+    return;
+  }
+  routing::Advance(
+    target.applied_, group.samples_, *aEvent.position_, aContext.now_);
+}
+
 void
 FinishUnaccepted(Context& aContext, Connection& aConnection, Request& aRequest)
 {
@@ -338,6 +433,7 @@
   }
   Session& session = group.sessions_.at(connection->session_);
   Request& request = *session.current_;
+  TakePosition(aContext, *connection, request, aEvent);
   MeasureService(
     aContext, *connection, session, request, aEvent.transactionStatus_);
   if (!aEvent.sqlstate_.empty()) {
--- a/packages/core/traffic/internal/connections.cpp
+++ b/packages/core/traffic/internal/connections.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/traffic/internal/answers.h"
+#include "core/traffic/internal/floors.h"
 #include "core/traffic/internal/grants.h"
 #include "core/traffic/internal/probes.h"
 #include "core/traffic/internal/sessionends.h"
@@ -223,9 +224,17 @@
   if (!aRequest.inTransaction_) {
     aRequest.term_ = primary ? group.grant_->term_ : 0;
   }
-  const bool probe = !aRequest.inTransaction_ &&
-                     (aRequest.class_ == wire::STATEMENT_READ ||
-                      aRequest.class_ == wire::STATEMENT_PRIMARY_READ);
+  const bool read = !aRequest.inTransaction_ && IsRead(aRequest.class_);
+  const bool checks = target.state_.checks_positions();
+  const bool probe = read && !checks;
+  aConnection.knownBefore_ = routing::NewestPosition(group.samples_);
+  aConnection.floor_ = {};
+  if (read && checks) {
+    const auto required = RequiredPosition(group, aRequest, aContext.now_);
+    // The primary under the grant needs no vouching for an age.
+    aConnection.floor_ =
+      CarriedOver(group, required.value_or(aRequest.floor_));
+  }
   pool::ChangeState(
     target.pool_, aConnection, ConnectionState::Busy, aContext.now_);
   aConnection.use_ = Use::Statement;
@@ -238,7 +247,20 @@
                          aRequest.class_ == wire::STATEMENT_COMMIT &&
                          group.settings_.guards_.asksWhetherWritten_;
   Emit(aContext,
-       SendStatement{ aConnection.id_, aRequest.id_, probe, probe, asksWrote });
+       SendStatement{ aConnection.id_,
+                      aRequest.id_,
+                      probe,
+                      probe,
+                      asksWrote,
+                      aConnection.floor_ });
+}
+
+bool
+IsRead(wire::StatementClass aClass)
+{
+  return aClass == wire::STATEMENT_READ ||
+         aClass == wire::STATEMENT_PRIMARY_READ ||
+         aClass == wire::STATEMENT_BEGIN_READ;
 }
 
 void
--- a/packages/core/traffic/internal/connections.h
+++ b/packages/core/traffic/internal/connections.h
@@ -26,6 +26,10 @@
 void
 PutBack(Context& aContext, Connection& aConnection);
 
+//! Whether a statement of this class, outside a transaction, only reads.
+bool
+IsRead(wire::StatementClass aClass);
+
 //! Hands a statement over on an idle or pinned connection.
 void
 HandOver(Context& aContext, Connection& aConnection, Request& aRequest);
--- a/packages/core/traffic/internal/dispatch.cpp
+++ b/packages/core/traffic/internal/dispatch.cpp
@@ -58,6 +58,20 @@
   return true;
 }
 
+// Only a target that checks positions can begin a transaction at a floor.
+bool
+MayUseReplica(const Group& aGroup, const Request& aRequest)
+{
+  const bool checked =
+    std::ranges::all_of(aGroup.state_.targets(), [](const auto& aTarget) {
+      return aTarget.checks_positions();
+    });
+  const bool read =
+    aRequest.class_ == wire::STATEMENT_READ ||
+    (aRequest.class_ == wire::STATEMENT_BEGIN_READ && checked);
+  return read && !aRequest.mustBePrimary_;
+}
+
 bool
 MayRunNow(const Group& aGroup, const Target& aTarget)
 {
@@ -66,12 +80,11 @@
   return slot && !aTarget.pool_.idle_.empty();
 }
 
-// Transactions must leave a connection for other work.
 bool
-MayPin(const Target& aTarget)
+Begins(const Request& aRequest)
 {
-  const auto& pool = aTarget.pool_;
-  return pool.share_ <= 1 || pool.pinned_ + 1 < pool.share_;
+  return aRequest.class_ == wire::STATEMENT_BEGIN ||
+         aRequest.class_ == wire::STATEMENT_BEGIN_READ;
 }
 
 void
@@ -94,7 +107,9 @@
     Session& session = group.sessions_.at(request->id_.session_);
     Connection* connection = FindConnection(group, session.pinned_);
 
-    const bool granted = GrantHolds(group, session.term_, aContext.now_) ||
+    const bool atReplica = session.term_ == 0;
+    const bool granted = atReplica ||
+                         GrantHolds(group, session.term_, aContext.now_) ||
                          !group.settings_.guards_.grantAtHandOver_;
     if (!granted && request->class_ != wire::STATEMENT_ROLLBACK) {
       FinishNoGrant(aContext, *request);
@@ -119,7 +134,7 @@
     auto* item = admission::FindNext(
       group.primaryQueue_, kScanLimit, [&](const admission::QueueItem& aItem) {
         const auto& request = static_cast<const Request&>(aItem);
-        return request.class_ != wire::STATEMENT_BEGIN || MayPin(*primary);
+        return !Begins(request) || MayPin(*primary);
       });
     if (item == nullptr) {
       return;
@@ -260,7 +275,7 @@
 Route(Context& aContext, Request& aRequest)
 {
   Unqueue(aRequest);
-  if (aRequest.class_ == wire::STATEMENT_READ && !aRequest.mustBePrimary_) {
+  if (MayUseReplica(aContext.group_, aRequest)) {
     RouteRead(aContext, aRequest);
   } else {
     RouteToPrimary(aContext, aRequest);
--- /dev/null
+++ b/packages/core/traffic/internal/floors.cpp
@@ -0,0 +1,103 @@
+#include "core/traffic/internal/floors.h"
+
+#include <algorithm>
+
+#include "core/traffic/internal/targets.h"
+
+namespace wigeonlb::core::traffic::internal {
+
+namespace {
+
+//! The confirmed term that took over from the one given, or null.
+const wire::TermStart*
+FindSuccessor(const wire::GroupState& aGroup, std::uint64_t aTerm)
+{
+  for (const auto& start : aGroup.history()) {
+    if (start.term() > aTerm && start.term() <= aGroup.term()) {
+      return &start;
+    }
+  }
+  return nullptr;
+}
+
+//! The confirmed term that wrote the entry at an offset, at most aTerm: a term
+//! writes behind its start.
+std::uint64_t
+WriterOf(const wire::GroupState& aGroup,
+         std::uint64_t aOffset,
+         std::uint64_t aTerm)
+{
+  std::uint64_t writer = aTerm;
+  for (auto start = aGroup.history().rbegin(); start != aGroup.history().rend();
+       ++start) {
+    if (start->term() > aTerm || start->term() > aGroup.term()) {
+      continue;
+    }
+    if (start->start_offset() < aOffset) {
+      return start->term();
+    }
+    writer = start->parent_term() != 0 ? start->parent_term() : writer;
+  }
+  return writer;
+}
+
+} // namespace
+
+std::optional<LogPosition>
+AgeFloor(const Group& aGroup, Duration aMaxAge, Instant aNow)
+{
+  const auto& samples = aGroup.samples_.samples_;
+  const auto young =
+    std::ranges::find_if(samples, [&](const routing::PositionSample& aSample) {
+      return aSample.lastAt_ >= aNow - aMaxAge;
+    });
+  if (young == samples.end()) {
+    return std::nullopt;
+  }
+  return young->position_;
+}
+
+std::optional<LogPosition>
+RequiredPosition(const Group& aGroup, const Request& aRequest, Instant aNow)
+{
+  LogPosition required = aRequest.floor_;
+  if (aRequest.class_ == wire::STATEMENT_PRIMARY_READ) {
+    required =
+      std::max(required, routing::NewestPosition(aGroup.samples_));
+  }
+  if (aRequest.maxAge_) {
+    const auto floor = AgeFloor(aGroup, *aRequest.maxAge_, aNow);
+    if (!floor) {
+      return std::nullopt;
+    }
+    required = std::max(required, *floor);
+  }
+  return required;
+}
+
+LogPosition
+CarriedOver(const Group& aGroup, const LogPosition& aFloor)
+{
+  if (aFloor.term_ > aGroup.state_.term()) {
+    return aFloor; // not known here yet
+  }
+  LogPosition floor = aFloor;
+  const auto* successor = FindSuccessor(aGroup.state_, floor.term_);
+  while (successor != nullptr) {
+    floor.offset_ = std::min(floor.offset_, successor->start_offset());
+    successor = FindSuccessor(aGroup.state_, successor->term());
+  }
+  floor.term_ = WriterOf(aGroup.state_, floor.offset_, floor.term_);
+  return floor;
+}
+
+LogPosition
+InGrantTerm(const Group& aGroup, const LogPosition& aPosition)
+{
+  const bool earlier =
+    aGroup.grant_ && aPosition.term_ < aGroup.grant_->term_;
+  return { earlier ? aGroup.grant_->term_ : aPosition.term_,
+           aPosition.offset_ };
+}
+
+} // namespace wigeonlb::core::traffic::internal
--- a/packages/core/traffic/internal/group.h
+++ b/packages/core/traffic/internal/group.h
@@ -157,6 +157,8 @@
   SessionId session_ = 0;
   //! The primary's newest known position when its position was asked for.
   LogPosition knownBefore_;
+  //! Floor that went with its statement.
+  LogPosition floor_;
   bool withProbe_ = false;
   bool probeSeen_ = false;
   bool cancelSent_ = false;
@@ -199,6 +201,10 @@
   Instant heardAt_;
   routing::CatchUp synced_;
   routing::CatchUp applied_;
+  //! It refused a read as behind: until then, reads of that floor and above go
+  //! elsewhere.
+  LogPosition refusedFloor_;
+  Instant refusedUntil_;
   Probe probe_;
   LeftSessions left_;
   //! A probe connection was silent while a new one works: those that nothing
--- a/packages/core/traffic/internal/outcomes.cpp
+++ b/packages/core/traffic/internal/outcomes.cpp
@@ -33,6 +33,20 @@
   }
 }
 
+// Whatever the target did with the statement, nothing of it stays: the
+// transaction is rolled back with its connection, or the statement only reads.
+bool
+KeepsNothing(const Context& aContext, const Request& aRequest)
+{
+  if (!aRequest.inTransaction_) {
+    return IsRead(aRequest.class_);
+  }
+  const Session& session =
+    aContext.group_.sessions_.at(aRequest.id_.session_);
+  return aRequest.class_ != wire::STATEMENT_COMMIT ||
+         session.term_ == 0;
+}
+
 // The transaction of a statement that is given up is rolled back. What was to
 // end the transaction has ended it: a ROLLBACK has even got what it asked for.
 void
@@ -149,7 +163,7 @@
 {
   Finish finish;
   finish.outcome_ = wire::OUTCOME_UNKNOWN;
-  finish.sqlstate_ = "08007";
+  finish.sqlstate_ = KeepsNothing(aContext, aRequest) ? "40003" : "08007";
   finish.message_ = std::move(aMessage);
   finish.servedBy_ = aRequest.servedBy_;
   if (aRequest.inTransaction_) {
--- a/packages/core/traffic/internal/probes.cpp
+++ b/packages/core/traffic/internal/probes.cpp
@@ -15,6 +15,8 @@
 
 constexpr Duration kFailedInterval = 100ms;
 constexpr Duration kLongestWokenInterval = 50ms;
+// Probes left out at most while statements tell positions.
+constexpr int kProbesSkipped = 6;
 // A lagging target is asked this often within its delay.
 constexpr int kProbesPerDelay = 16;
 
@@ -65,8 +67,17 @@
     return probe.sentAt_ + kFailedInterval;
   }
   const bool awaited = IsAwaited(aGroup, aTarget, IsPrimary(aGroup, aTarget));
-  return probe.sentAt_ + (awaited ? WokenInterval(aGroup, aTarget)
-                                  : aGroup.settings_.idleProbeInterval_);
+  if (awaited) {
+    return probe.sentAt_ + WokenInterval(aGroup, aTarget);
+  }
+  const Duration idle = aGroup.settings_.idleProbeInterval_;
+  if (!aTarget.state_.checks_positions()) {
+    return probe.sentAt_ + idle;
+  }
+  // Answers of statements tell positions: a probe is due without them, and now
+  // and then for the role.
+  return std::min(std::max(probe.sentAt_, aTarget.reportAt_) + idle,
+                  probe.sentAt_ + kProbesSkipped * idle);
 }
 
 void
--- a/packages/core/traffic/internal/reads.cpp
+++ b/packages/core/traffic/internal/reads.cpp
@@ -44,7 +44,9 @@
     const auto& pool = target->pool_;
     const bool slot =
       pool::HasFreeSlot(pool) || !aContext.group_.settings_.guards_.slotLimit_;
-    if (slot && !pool.idle_.empty()) {
+    const bool mayPin =
+      aRequest.class_ != wire::STATEMENT_BEGIN_READ || MayPin(*target);
+    if (slot && mayPin && !pool.idle_.empty()) {
       eligible.free_.push_back(target.get());
     } else {
       ++eligible.busy_;
--- a/packages/core/traffic/internal/targets.cpp
+++ b/packages/core/traffic/internal/targets.cpp
@@ -6,12 +6,17 @@
 #include "core/configuration/groupoptions.h"
 #include "core/positions/positions.h"
 #include "core/traffic/internal/connections.h"
+#include "core/traffic/internal/floors.h"
 #include "core/traffic/internal/grants.h"
 
 namespace wigeonlb::core::traffic::internal {
 
 namespace {
 
+// Statements beyond its part of the slots that each owner may have at a target
+// that queues: the parts of other owners are seldom all in use.
+constexpr std::uint32_t kSharedSlack = 1;
+
 bool
 IsYoungEnough(const Group& aGroup,
               const LogPosition& aPosition,
@@ -25,6 +30,33 @@
   return age && *age <= *aMaxAge;
 }
 
+//! Why a replica that checks positions itself can't serve a read.
+std::string_view
+FindCheckedObstacle(const Group& aGroup,
+                    const Target& aTarget,
+                    const LogPosition& aFloor,
+                    std::optional<Duration> aMaxAge,
+                    Instant aNow)
+{
+  LogPosition floor = aFloor;
+  if (aMaxAge) {
+    const auto ageFloor = AgeFloor(aGroup, *aMaxAge, aNow);
+    if (!ageFloor) {
+      return "no sample of the primary is young enough";
+    }
+    floor = std::max(floor, *ageFloor);
+  }
+  if (aTarget.applied_.position_ >= floor) {
+    return "";
+  }
+  if (aNow < aTarget.refusedUntil_ && floor >= aTarget.refusedFloor_) {
+    return "behind the floor";
+  }
+  const auto arrival = routing::ExpectedArrival(
+    aTarget.applied_, aGroup.samples_, floor, aNow);
+  return arrival && *arrival > aNow ? "behind the floor" : "";
+}
+
 bool
 HasDivergedTail(const Group& aGroup, const wire::TargetReport& aReport)
 {
@@ -77,6 +109,8 @@
   aSettings.concurrency_ = concurrency == 0
                              ? std::numeric_limits<std::uint32_t>::max()
                              : static_cast<std::uint32_t>(concurrency);
+  aSettings.majorityAcknowledges_ =
+    configuration::OptionText(aGroup, "acknowledge") == "majority";
   aSettings.requestKeys_ = !configuration::RequestKeyTable(aGroup).empty();
 }
 
@@ -101,6 +135,13 @@
   return aTarget.usable_ && !aTarget.state_.draining();
 }
 
+bool
+MayPin(const Target& aTarget)
+{
+  const auto& pool = aTarget.pool_;
+  return pool.share_ <= 1 || pool.pinned_ + 1 < pool.share_;
+}
+
 LogPosition
 AppliedPosition(const Group& aGroup, const wire::TargetReport& aReport)
 {
@@ -135,12 +176,17 @@
   if (!aTarget.state_.counted()) {
     return "not admitted";
   }
-  if (!aTarget.report_) {
-    return "no status yet";
-  }
   if (aTarget.probe_.failed_) {
     return "unreachable";
   }
+  if (aTarget.state_.checks_positions()) {
+    return routing::IsEjected(aTarget.health_, aNow)
+             ? "ejected for failures or slowness"
+             : FindCheckedObstacle(aGroup, aTarget, aFloor, aMaxAge, aNow);
+  }
+  if (!aTarget.report_) {
+    return "no status yet";
+  }
   if (!IsSameIncarnation(aGroup, aTarget, *aTarget.report_)) {
     return "its data was rebuilt";
   }
@@ -217,6 +263,10 @@
     target->pool_.slots_ = pool::PartOfSlots(
       std::min(target->state_.slots(), group.settings_.concurrency_),
       group.owners_);
+    if (target->state_.slots_by_statement() && group.owners_ > 1) {
+      target->pool_.slots_ += kSharedSlack;
+    }
+    target->pool_.pinnedHoldSlots_ = !target->state_.slots_by_statement();
   }
 }
 
--- a/packages/core/traffic/internal/targets.h
+++ b/packages/core/traffic/internal/targets.h
@@ -19,6 +19,10 @@
 bool
 TakesWork(const Target& aTarget);
 
+//! Transactions must leave a connection for other work.
+bool
+MayPin(const Target& aTarget);
+
 //! The written position of what reads see.
 LogPosition
 AppliedPosition(const Group& aGroup, const wire::TargetReport& aReport);
--- a/packages/core/traffic/settings.h
+++ b/packages/core/traffic/settings.h
@@ -66,6 +66,8 @@
   //! The same while others wait for the server's slots; option
   //! `idle_transaction_contended`.
   foundation::Duration idleTransactionContended_ = 2s;
+  //! Writes wait until a majority has them; option `acknowledge`.
+  bool majorityAcknowledges_ = true;
   //! Requests may have keys; set by the group's option.
   bool requestKeys_ = false;
   foundation::Duration openTimeout_ = 1s;
--- a/packages/core/traffic/tests/fakedriver.cpp
+++ b/packages/core/traffic/tests/fakedriver.cpp
@@ -7,6 +7,13 @@
 
 namespace {
 
+//! SQLSTATE of a write that the target refuses as read only.
+constexpr std::string_view kReadOnly = "25006";
+
+} // namespace
+
+namespace {
+
 constexpr std::uint64_t kEntryBytes = 100;
 
 } // namespace
@@ -159,7 +166,7 @@
   const bool writes = klass == wire::STATEMENT_WRITE || aAsked.ask_.writes_;
   if (writes && (!aLink.target_->primary_ || aLink.current_.readOnly_)) {
     --handedOver_[id];
-    return "25006";
+    return std::string(kReadOnly);
   }
   if (IsKeyKnown(*aLink.target_, aAsked.ask_.key_)) {
     aLink.current_.alreadyDone_ = true;
@@ -219,6 +226,7 @@
   SetIdle(link);
   StatementFinished event;
   event.connection_ = aId;
+  event.refusal_ = aError == kReadOnly ? Refusal::ReadOnly : Refusal::None;
   event.sqlstate_ = std::move(aError);
   event.transactionStatus_ = link.inTransaction_ ? 'T' : 'I';
   event.wrote_ = link.current_.wrote_;
