--- a/packages/foundation/clock.h
+++ b/packages/foundation/clock.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace wigeonlb::foundation {
 
@@ -25,12 +26,17 @@
 //! A reading of one host's monotonic clock; not comparable between hosts.
 using Instant = std::chrono::time_point<MonotonicClock, Duration>;
 
-//! Reads the system's steady clock. For the daemon's edges only.
+//! Reads the boot-time clock. For the daemon's edges only.
+//! NOTE Not std::chrono::steady_clock: that one stands still while the machine
+//! is suspended, and a lease would outlive its end by that time. Timers may use
+//! it, for whatever rests on time is checked against a new reading.
 inline Instant
 SteadyNow()
 {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return Instant(std::chrono::duration_cast<Duration>(
-    std::chrono::steady_clock::now().time_since_epoch()));
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 //! Whole milliseconds of a duration, rounded down.
--- a/packages/http/httpclient.cpp
+++ b/packages/http/httpclient.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http/internal/answers.h"
+
 namespace wigeonlb::http {
 
 namespace asio = boost::asio;
@@ -32,15 +34,6 @@
   return result;
 }
 
-std::error_code
-ToStandard(beast::error_code aError)
-{
-  if (aError == beast::error::timeout) {
-    return std::make_error_code(std::errc::timed_out);
-  }
-  return aError;
-}
-
 tcp::resolver::results_type
 Resolve(asio::io_context& aContext,
         std::string_view aAddress,
@@ -58,21 +51,6 @@
                           aError);
 }
 
-HttpResponse
-ConvertResponse(const beast::http::response<beast::http::string_body>& aSource)
-{
-  HttpResponse response;
-  response.status_ = static_cast<int>(aSource.result_int());
-  response.contentType_ =
-    std::string(aSource[beast::http::field::content_type]);
-  for (const auto& field : aSource) {
-    response.headers_[std::string(field.name_string())] =
-      std::string(field.value());
-  }
-  response.body_ = aSource.body();
-  return response;
-}
-
 } // namespace
 
 HttpResult
--- a/packages/http/httprouter.h
+++ b/packages/http/httprouter.h
@@ -8,17 +8,26 @@
 
 namespace wigeonlb::http {
 
-//! Finds a handler by method and exact path: 404 for another path, 405 for
-//! another method. Routes are added before the server starts.
+//! Finds a handler by method and path: 404 for another path, 405 for another
+//! method. Routes are added before the server starts.
 class HttpRouter
 {
 public:
   void Add(std::string aMethod, std::string aPath, RequestHandler aHandler);
+  //! For every path that is longer than aPrefix and begins with it, unless the
+  //! path itself was added.
+  void AddPrefix(std::string aMethod,
+                 std::string aPrefix,
+                 RequestHandler aHandler);
   void Handle(const HttpRequest& aRequest, Respond aRespond) const;
 
 private:
-  //! By path, then by method.
-  std::map<std::string, std::map<std::string, RequestHandler>> routes_;
+  using Methods = std::map<std::string, RequestHandler>;
+
+  const Methods* Find(const std::string& aPath) const;
+
+  std::map<std::string, Methods> routes_;   //!< by path
+  std::map<std::string, Methods> prefixes_; //!< by prefix
 };
 
 } // namespace wigeonlb::http
--- /dev/null
+++ b/packages/http/internal/answers.cpp
@@ -0,0 +1,55 @@
+#include "http/internal/answers.h"
+
+#include <charconv>
+#include <string>
+
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/field.hpp>
+
+namespace wigeonlb::http {
+
+namespace beast = boost::beast;
+using boost::asio::ip::tcp;
+
+std::error_code
+ToStandard(beast::error_code aError)
+{
+  if (aError == beast::error::timeout) {
+    return std::make_error_code(std::errc::timed_out);
+  }
+  return aError;
+}
+
+HttpResponse
+ConvertResponse(const beast::http::response<beast::http::string_body>& aSource)
+{
+  HttpResponse response;
+  response.status_ = static_cast<int>(aSource.result_int());
+  response.contentType_ =
+    std::string(aSource[beast::http::field::content_type]);
+  for (const auto& field : aSource) {
+    response.headers_[std::string(field.name_string())] =
+      std::string(field.value());
+  }
+  response.body_ = aSource.body();
+  return response;
+}
+
+tcp::endpoint
+EndpointOf(std::string_view aAddress, beast::error_code& aError)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  std::uint16_t port = 0;
+  const char* const end = aAddress.data() + aAddress.size();
+  if (colon == std::string_view::npos ||
+      std::from_chars(aAddress.data() + colon + 1, end, port).ptr != end) {
+    aError = boost::asio::error::invalid_argument;
+    return {};
+  }
+  const auto ip = boost::asio::ip::make_address(
+    std::string(aAddress.substr(0, colon)), aError);
+  return { ip, port };
+}
+
+} // namespace wigeonlb::http
--- /dev/null
+++ b/packages/http/internal/answers.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string_view>
+#include <system_error>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "http/httpmessages.h"
+
+namespace wigeonlb::http {
+
+//! A time-out of the library as that of the system.
+std::error_code
+ToStandard(boost::beast::error_code aError);
+
+HttpResponse
+ConvertResponse(
+  const boost::beast::http::response<boost::beast::http::string_body>& aSource);
+
+//! The endpoint of `ip:port`, without asking any name server.
+boost::asio::ip::tcp::endpoint
+EndpointOf(std::string_view aAddress, boost::beast::error_code& aError);
+
+} // namespace wigeonlb::http
--- a/packages/target/dialect.cpp
+++ b/packages/target/dialect.cpp
@@ -40,7 +40,8 @@
     "",
     kPostgresqlEndSession,
     kPostgresqlEndTransactions,
-    "CAST(extract(epoch FROM now()) AS bigint)" },
+    "CAST(extract(epoch FROM now()) AS bigint)",
+    "SET TRANSACTION READ ONLY" },
   { "standin",
     "SELECT * FROM standin_status",
     "SELECT standin_promote({term})",
@@ -48,7 +49,8 @@
     "SELECT standin_fence({term})",
     "SELECT standin_end_session({pid}, {name})",
     "SELECT standin_end_transactions({name}, {age_ms})",
-    "CAST(strftime('%s', 'now') AS integer)" },
+    "CAST(strftime('%s', 'now') AS integer)",
+    "SET TRANSACTION READ ONLY" },
 };
 
 bool
@@ -166,6 +168,29 @@
   return statement;
 }
 
+std::string
+FloorPrefix(const Dialect& aDialect, const foundation::LogPosition& aFloor)
+{
+  if (aDialect.floorPrefix_.empty() || aFloor.offset_ == 0) {
+    return {};
+  }
+  std::string prefix = WithTerm(aDialect.floorPrefix_, aFloor.term_);
+  Replace(prefix, "{offset}", std::to_string(aFloor.offset_));
+  return prefix;
+}
+
+std::string
+SetValue(const Dialect& aDialect,
+         std::string_view aName,
+         std::string_view aValue)
+{
+  std::string statement(aDialect.setPrefix_);
+  statement += aName;
+  statement += ' ';
+  statement += aValue;
+  return statement;
+}
+
 std::string
 ApplicationName(std::string_view aHost, std::uint64_t aBoot)
 {
--- a/packages/target/dialect.h
+++ b/packages/target/dialect.h
@@ -9,6 +9,7 @@
 
 #include "control.pb.h"
 #include "foundation/clock.h"
+#include "foundation/logposition.h"
 
 namespace wigeonlb::target {
 
@@ -46,6 +47,21 @@
 
   //! Expression for whole seconds since 1970 by the target's clock.
   std::string_view secondsExpression_;
+
+  //! Makes the transaction of the same message refuse writes. Empty where reads
+  //! are told by their text.
+  std::string_view readOnlyStatement_;
+
+  //! Goes in front of a read or BEGIN that the target is to refuse unless its
+  //! log has `{term}` and `{offset}`. Empty where targets don't check.
+  std::string_view floorPrefix_ = {};
+
+  //! What a statement that gives the connection a value begins with; the name
+  //! and the value follow. Empty where callers can't set values.
+  std::string_view setPrefix_ = {};
+
+  //! Makes the connection forget values and prepared statements.
+  std::string_view resetStatement_ = {};
 };
 
 //! Columns of a status row, all as text.
@@ -76,6 +92,17 @@
 std::error_code
 ReadStatus(std::span<const Field> aRow, wire::TargetReport& aReport);
 
+//! The prefix that asks for a position; empty where targets don't check, or
+//! without a position.
+std::string
+FloorPrefix(const Dialect& aDialect, const foundation::LogPosition& aFloor);
+
+//! The statement that gives a connection a value.
+std::string
+SetValue(const Dialect& aDialect,
+         std::string_view aName,
+         std::string_view aValue);
+
 //! A statement of the dialect with `{term}` replaced.
 std::string
 WithTerm(std::string_view aStatement, std::uint64_t aTerm);
--- a/packages/target/targetconnection.cpp
+++ b/packages/target/pgconnection.cpp
@@ -1,4 +1,4 @@
-#include "target/targetconnection.h"
+#include "target/pgconnection.h"
 
 #include <memory>
 
@@ -11,6 +11,9 @@
 
 namespace {
 
+//! read_only_sql_transaction
+constexpr std::string_view kReadOnlySqlstate = "25006";
+
 struct ResultDeleter
 {
   void operator()(PGresult* aResult) const { PQclear(aResult); }
@@ -93,7 +96,7 @@
 
 } // namespace
 
-TargetConnection::TargetConnection(boost::asio::io_context& aContext,
+PgConnection::PgConnection(boost::asio::io_context& aContext,
                                    TargetObserver& aObserver)
   : context_(aContext)
   , observer_(aObserver)
@@ -102,13 +105,13 @@
 {
 }
 
-TargetConnection::~TargetConnection()
+PgConnection::~PgConnection()
 {
   Close();
 }
 
 void
-TargetConnection::Open(const TargetAddress& aAddress,
+PgConnection::Open(const TargetAddress& aAddress,
                        foundation::Duration aTimeout)
 {
   state_ = State::Connecting;
@@ -136,7 +139,7 @@
 }
 
 void
-TargetConnection::PollConnect()
+PgConnection::PollConnect()
 {
   const PostgresPollingStatusType status = PQconnectPoll(connection_);
   AssignSocket();
@@ -165,7 +168,7 @@
 }
 
 void
-TargetConnection::AssignSocket()
+PgConnection::AssignSocket()
 {
   const int socket = PQsocket(connection_);
   if (socket_.is_open() && socket_.native_handle() == socket) {
@@ -178,7 +181,7 @@
 }
 
 void
-TargetConnection::ReleaseSocket()
+PgConnection::ReleaseSocket()
 {
   if (socket_.is_open()) {
     socket_.release(); // libpq closes it
@@ -186,7 +189,7 @@
 }
 
 void
-TargetConnection::WaitForSocket(bool aForWrite)
+PgConnection::WaitForSocket(bool aForWrite)
 {
   if (!aForWrite) {
     if (reading_) {
@@ -213,7 +216,7 @@
 }
 
 void
-TargetConnection::OnSocketReady()
+PgConnection::OnSocketReady()
 {
   if (state_ == State::Connecting) {
     PollConnect();
@@ -229,7 +232,7 @@
 }
 
 void
-TargetConnection::FlushOutput()
+PgConnection::FlushOutput()
 {
   const int left = PQflush(connection_);
   if (left < 0) {
@@ -240,10 +243,15 @@
 }
 
 bool
-TargetConnection::Send(const std::string& aStatements)
+PgConnection::Send(std::span<const Query> aQueries)
 {
+  std::string statements;
+  for (const Query& query : aQueries) {
+    statements += statements.empty() ? "" : "; ";
+    statements += query.text_;
+  }
   if (state_ != State::Idle ||
-      PQsendQuery(connection_, aStatements.c_str()) == 0) {
+      PQsendQuery(connection_, statements.c_str()) == 0) {
     Lose(TargetError::ConnectionLost);
     return false;
   }
@@ -260,7 +268,7 @@
 }
 
 void
-TargetConnection::ReadResults()
+PgConnection::ReadResults()
 {
   const Self keepAlive(this);
   const std::uint64_t turn = generation_;
@@ -281,7 +289,7 @@
         return;
       }
       WaitForSocket(false);
-      observer_.OnIdle(*this, letter);
+      observer_.OnIdle(*this, letter, std::nullopt);
       return;
     }
     TakeResult(result.get());
@@ -295,7 +303,7 @@
 }
 
 void
-TargetConnection::TakeResult(PGresult* aResult)
+PgConnection::TakeResult(PGresult* aResult)
 {
   const std::uint64_t turn = generation_;
   const ExecStatusType status = PQresultStatus(aResult);
@@ -325,22 +333,24 @@
     Lose(TargetError::ConnectionLost);
     return;
   }
-  observer_.OnSqlError(*this,
-                       SqlError{ ErrorField(aResult, PG_DIAG_SEVERITY),
-                                 ErrorField(aResult, PG_DIAG_SQLSTATE),
-                                 ErrorField(aResult, PG_DIAG_MESSAGE_PRIMARY),
-                                 ErrorField(aResult, PG_DIAG_MESSAGE_DETAIL),
-                                 ErrorField(aResult, PG_DIAG_MESSAGE_HINT) });
+  SqlError error{ ErrorField(aResult, PG_DIAG_SEVERITY),
+                  ErrorField(aResult, PG_DIAG_SQLSTATE),
+                  ErrorField(aResult, PG_DIAG_MESSAGE_PRIMARY),
+                  ErrorField(aResult, PG_DIAG_MESSAGE_DETAIL),
+                  ErrorField(aResult, PG_DIAG_MESSAGE_HINT) };
+  error.refusal_ =
+    error.sqlstate_ == kReadOnlySqlstate ? Refusal::ReadOnly : Refusal::None;
+  observer_.OnSqlError(*this, error);
 }
 
 void
-TargetConnection::Pause()
+PgConnection::Pause()
 {
   paused_ = true;
 }
 
 void
-TargetConnection::Resume()
+PgConnection::Resume()
 {
   if (!paused_) {
     return;
@@ -354,7 +364,7 @@
 }
 
 void
-TargetConnection::Cancel()
+PgConnection::Cancel()
 {
   if (state_ != State::Busy) {
     return;
@@ -371,13 +381,13 @@
 }
 
 std::int32_t
-TargetConnection::Backend() const
+PgConnection::Backend() const
 {
   return IsOpen() ? PQbackendPID(connection_) : 0;
 }
 
 void
-TargetConnection::Lose(std::error_code aError)
+PgConnection::Lose(std::error_code aError)
 {
   if (state_ == State::Closed) {
     return;
@@ -390,7 +400,7 @@
 }
 
 void
-TargetConnection::Close()
+PgConnection::Close()
 {
   ++generation_;
   state_ = State::Closed;
@@ -404,4 +414,31 @@
   }
 }
 
+namespace {
+
+TargetConnectionPointer
+Connect(boost::asio::io_context& aContext, TargetObserver& aObserver)
+{
+  return new PgConnection(aContext, aObserver);
+}
+
+const Dialect&
+DialectOf(std::string_view aName)
+{
+  const Dialect* const dialect = FindDialect(aName);
+  return dialect == nullptr ? Dialects().front() : *dialect;
+}
+
+constexpr Protocol kPostgresql = { Connect,
+                                   DialectOf,
+                                   std::chrono::seconds(2) };
+
+} // namespace
+
+const Protocol&
+PostgresqlProtocol()
+{
+  return kPostgresql;
+}
+
 } // namespace wigeonlb::target
--- /dev/null
+++ b/packages/target/pgconnection.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <system_error>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <libpq-fe.h>
+
+#include "target/targetconnection.h"
+
+namespace wigeonlb::target {
+
+//! A connection over libpq.
+class PgConnection : public TargetConnection
+{
+public:
+  PgConnection(boost::asio::io_context& aContext, TargetObserver& aObserver);
+  ~PgConnection() override;
+  PgConnection(const PgConnection&) = delete;
+  PgConnection& operator=(const PgConnection&) = delete;
+
+  void Open(const TargetAddress& aAddress,
+            foundation::Duration aTimeout) override;
+
+  //! The queries travel as one message.
+  bool Send(std::span<const Query> aQueries) override;
+
+  void Pause() override;
+  void Resume() override;
+
+  //! Over a connection of its own on another thread.
+  void Cancel() override;
+  void Close() override;
+  std::int32_t Backend() const override;
+  bool IsOpen() const override
+  {
+    return state_ == State::Idle || state_ == State::Busy;
+  }
+
+private:
+  enum class State
+  {
+    Closed,
+    Connecting,
+    Idle,
+    Busy
+  };
+  using Self = boost::intrusive_ptr<PgConnection>;
+
+  void PollConnect();
+  void WaitForSocket(bool aForWrite);
+  void OnSocketReady();
+  void FlushOutput();
+  void ReadResults();
+  void TakeResult(PGresult* aResult);
+  void Lose(std::error_code aError);
+  void ReleaseSocket();
+  void AssignSocket();
+
+  boost::asio::io_context& context_;
+  TargetObserver& observer_;
+  boost::asio::posix::stream_descriptor socket_;
+  boost::asio::steady_timer connectTimer_;
+  PGconn* connection_ = nullptr;
+  State state_ = State::Closed;
+  bool paused_ = false;
+  bool reading_ = false;
+  std::size_t resultIndex_ = 0;
+  bool columnsTold_ = false;
+  std::uint64_t generation_ = 0;
+};
+
+} // namespace wigeonlb::target
--- a/packages/target/targetconnection.h
+++ b/packages/target/targetconnection.h
@@ -1,20 +1,18 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <system_error>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/posix/stream_descriptor.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
-#include <libpq-fe.h>
 
 #include "foundation/clock.h"
+#include "foundation/logposition.h"
 #include "target/dialect.h"
 
 namespace wigeonlb::target {
@@ -34,6 +32,27 @@
   std::string hostAndPort_; //!< `10.0.0.7:5432`
   std::string database_;
   Login login_;
+  //! Name and incarnation of the target that is meant: another one may have
+  //! come up at the address.
+  std::string target_ = {};
+  std::uint64_t incarnation_ = 0;
+};
+
+//! One statement on its way to a target.
+struct Query
+{
+  std::string text_;
+  //! The caller's own id; empty for a statement of this host.
+  std::string id_ = {};
+};
+
+//! Why a target ran nothing of a statement.
+enum class Refusal
+{
+  None,     //!< it may have run
+  Busy,     //!< no slot or connection is free
+  ReadOnly, //!< it doesn't lead, or the transaction only reads
+  Behind,   //!< its log lacks the position that was asked for
 };
 
 //! One column of an answer.
@@ -53,6 +72,7 @@
   std::string message_;
   std::string detail_;
   std::string hint_;
+  Refusal refusal_ = Refusal::None;
 };
 
 //! What a connection tells its user, on the thread of its io_context.
@@ -80,80 +100,66 @@
                           std::string_view aTag) = 0;
   virtual void OnSqlError(TargetConnection& aConnection,
                           const SqlError& aError) = 0;
-  //! The whole answer has come. aStatus is 'I', 'T' or 'E'.
-  virtual void OnIdle(TargetConnection& aConnection, char aStatus) = 0;
+  //! The whole answer has come. aStatus is 'I', 'T' or 'E'; aPosition is where
+  //! the target's log ends for reads, if its protocol tells.
+  virtual void OnIdle(
+    TargetConnection& aConnection,
+    char aStatus,
+    const std::optional<foundation::LogPosition>& aPosition) = 0;
 };
 
-//! A non-blocking libpq connection, used on the thread of one io_context.
+//! A non-blocking connection to a target, used on the thread of one io_context.
 //! NOTE After Close the observer is not called any more.
 class TargetConnection
   : public boost::intrusive_ref_counter<TargetConnection,
                                         boost::thread_unsafe_counter>
 {
 public:
-  TargetConnection(boost::asio::io_context& aContext,
-                   TargetObserver& aObserver);
-  ~TargetConnection();
+  TargetConnection() = default;
+  virtual ~TargetConnection() = default;
   TargetConnection(const TargetConnection&) = delete;
   TargetConnection& operator=(const TargetConnection&) = delete;
 
   //! Begins to connect; ends in OnOpened or OnLost.
-  void Open(const TargetAddress& aAddress, foundation::Duration aTimeout);
+  virtual void Open(const TargetAddress& aAddress,
+                    foundation::Duration aTimeout) = 0;
 
-  //! Hands over one message of one or more statements. Only when idle.
-  //! Returns false when the connection was lost instead; OnLost follows.
-  bool Send(const std::string& aStatements);
+  //! Hands over queries, to be run in order. Only when idle. Returns false when
+  //! the connection was lost instead; OnLost follows.
+  virtual bool Send(std::span<const Query> aQueries) = 0;
 
   //! Stops taking rows from the socket until Resume.
-  void Pause();
-  void Resume();
+  virtual void Pause() = 0;
+  virtual void Resume() = 0;
 
-  //! Asks the target, over a connection of its own on another thread, to
-  //! cancel the statement that runs.
-  void Cancel();
+  //! Asks the target to cancel what runs, where the protocol can.
+  virtual void Cancel() = 0;
 
   //! Closes at once; a statement that runs is left to the target.
-  void Close();
-
-  //! The target's id of this session; 0 while it isn't open.
-  std::int32_t Backend() const;
-
-  bool IsIdle() const { return state_ == State::Idle; }
-  bool IsOpen() const { return state_ == State::Idle || state_ == State::Busy; }
-
-private:
-  enum class State
-  {
-    Closed,
-    Connecting,
-    Idle,
-    Busy
-  };
-  using Self = boost::intrusive_ptr<TargetConnection>;
-
-  void PollConnect();
-  void WaitForSocket(bool aForWrite);
-  void OnSocketReady();
-  void FlushOutput();
-  void ReadResults();
-  void TakeResult(PGresult* aResult);
-  void Lose(std::error_code aError);
-  void ReleaseSocket();
-  void AssignSocket();
-
-  boost::asio::io_context& context_;
-  TargetObserver& observer_;
-  boost::asio::posix::stream_descriptor socket_;
-  boost::asio::steady_timer connectTimer_;
-  PGconn* connection_ = nullptr;
-  State state_ = State::Closed;
-  bool paused_ = false;
-  bool reading_ = false;
-  std::size_t resultIndex_ = 0;
-  bool columnsTold_ = false;
-  std::uint64_t generation_ = 0;
+  virtual void Close() = 0;
+
+  //! The target's id of this session; 0 while it isn't open, or without ids.
+  virtual std::int32_t Backend() const = 0;
+
+  virtual bool IsOpen() const = 0;
 };
 
 using TargetConnectionPointer = boost::intrusive_ptr<TargetConnection>;
 
+//! A protocol of targets.
+struct Protocol
+{
+  TargetConnectionPointer (*connect_)(boost::asio::io_context& aContext,
+                                      TargetObserver& aObserver);
+  //! The dialect of that name, or the protocol's first one.
+  const Dialect& (*dialect_)(std::string_view aName);
+  //! Idle connections are asked something after this time, to find those that
+  //! have silently died. Long where the connection itself finds out.
+  foundation::Duration idleCheck_;
+};
+
+//! PostgreSQL, by libpq.
+const Protocol&
+PostgresqlProtocol();
+
 } // namespace wigeonlb::target
--- a/testing/harness/system.py
+++ b/testing/harness/system.py
@@ -170,7 +170,7 @@
 
     def __init__(self, system, name, data_centre, ports, member):
         self.data_centre = data_centre
-        self.caller, self.operator, self.platform, self.peer = ports
+        self.caller, self.operator, self.announce, self.peer = ports
         self.member = member
         self.data_folder = pathlib.Path(system.folder) / f"data-{name}"
         self.trace_file = pathlib.Path(system.folder) / f"{name}.trace"
@@ -178,7 +178,7 @@
         self.system = system
         self.relay = system.relay
         self.peer_route = system.route(self.peer, name)
-        self.platform_route = system.route(self.platform, name)
+        self.announce_route = system.route(self.announce, name)
 
     def start(self):
         members = ",".join(
@@ -192,7 +192,7 @@
             "--data-centre", self.data_centre,
             "--caller-address", f"127.0.0.1:{self.caller}",
             "--operator-address", f"127.0.0.1:{self.operator}",
-            "--platform-address", f"127.0.0.1:{self.platform}",
+            "--announce-address", f"127.0.0.1:{self.announce}",
             "--peer-address", f"127.0.0.1:{self.peer}",
             "--peer-announced-address", f"127.0.0.1:{self.peer_route}",
             "--control-members", members,
@@ -208,7 +208,7 @@
 
     def health(self):
         try:
-            url = f"http://127.0.0.1:{self.platform}/healthz"
+            url = f"http://127.0.0.1:{self.announce}/healthz"
             with urllib.request.urlopen(url, timeout=1) as answer:
                 return answer.status
         except urllib.error.HTTPError as error:
@@ -268,7 +268,7 @@
             if each.group == self.group and each is not self
         )
         announce = ",".join(
-            f"http://127.0.0.1:{each.platform_route}"
+            f"http://127.0.0.1:{each.announce_route}"
             for each in self.system.hosts.values()
         )
         self.arguments = [
