--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -334,6 +334,11 @@
     callersStopped_ = true;
     traffic_->Drain();
   }
+  // The second half of the time is for what runs then.
+  if (!transactionsEnded_ && waited >= settings_.drainDeadline_ / 2) {
+    transactionsEnded_ = true;
+    traffic_->EndTransactions();
+  }
   if (callersStopped_ && waited >= kDrainNoticeMs && IsDrained()) {
     control_->PostReleaseAll();
     signals_.stop();
--- a/apps/wigeonlbd/daemon.h
+++ b/apps/wigeonlbd/daemon.h
@@ -75,6 +75,7 @@
   boost::asio::steady_timer gaugeTimer_{ signals_ };
   boost::asio::steady_timer watchTimer_{ signals_ };
   bool callersStopped_ = false;
+  bool transactionsEnded_ = false;
   std::atomic<bool> draining_ = false;
   foundation::Instant drainStarted_;
   int exitCode_ = 0;
--- a/apps/wigeonlbd/tests/shardfixture.cpp
+++ b/apps/wigeonlbd/tests/shardfixture.cpp
@@ -47,6 +47,7 @@
   shard_ = std::make_unique<TrafficShard>(context_, 0, settings, listener_);
   auto routes = std::make_shared<RoutingTable>();
   routes->groups_["g"].owners_ = { "h1", "h2" };
+  routes->databases_["g"].group_ = "g";
   shard_->SetRoutes(std::move(routes));
   caller::CallerServerOptions options;
   options.address_ = "127.0.0.1";
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -53,6 +53,13 @@
   if (const DatabaseRoute* const database = FindDatabase()) {
     group_ = database->group_;
   }
+  if (context_.routes_ == nullptr || context_.routes_->revision_ == 0) {
+    caller_->Refuse({ "FATAL",
+                      std::string(sqlstates::kNotRun),
+                      "this host knows no configuration yet",
+                      RetryText(kNoOwnerRetryMs) });
+    return;
+  }
   if (Route() == nullptr) {
     caller_->Refuse({ "FATAL",
                       std::string(sqlstates::kUnknownGroup),
--- a/apps/wigeonlbd/traffic/trafficruntime.h
+++ b/apps/wigeonlbd/traffic/trafficruntime.h
@@ -56,6 +56,8 @@
 
   //! Takes no new callers and closes sessions as they become idle.
   void Drain();
+  //! Ends open transactions as soon as nothing runs in them.
+  void EndTransactions() { server_->EndTransactions(); }
   std::size_t SessionCount() const { return server_->SessionCount(); }
 
   std::error_code SendForward(const foundation::HostId& aHost,
--- a/packages/caller/callerserver.cpp
+++ b/packages/caller/callerserver.cpp
@@ -36,6 +36,15 @@
            .hint_ = "Connect to another server." };
 }
 
+ErrorFields
+TransactionEnded()
+{
+  return { .sqlstate_ = std::string(sqlstates::kTransactionLost),
+           .message_ = "the server is shutting down and has rolled the "
+                       "transaction back",
+           .hint_ = "Run it again at another server." };
+}
+
 } // namespace
 
 // The sessions of one worker; used on its thread only.
@@ -86,6 +95,13 @@
     }
   }
 
+  void EndTransactions()
+  {
+    for (CallerSession& session : sessions_) {
+      session.RefuseWhenDone(TransactionEnded());
+    }
+  }
+
   void CloseAll()
   {
     closing_ = true;
@@ -217,6 +233,15 @@
   }
 }
 
+void
+CallerServer::EndTransactions()
+{
+  for (const auto& shard : shards_) {
+    boost::asio::post(shard->Context(),
+                      [shard = shard.get()] { shard->EndTransactions(); });
+  }
+}
+
 void
 CallerServer::CloseAll()
 {
--- a/packages/caller/callerserver.h
+++ b/packages/caller/callerserver.h
@@ -59,6 +59,10 @@
   //! progress and no open transaction. From any thread.
   void CloseIdle();
 
+  //! Ends open transactions with their sessions, each as soon as it has no query
+  //! in progress. From any thread.
+  void EndTransactions();
+
   //! Closes every session at once. From any thread.
   void CloseAll();
 
--- a/packages/caller/callersession.cpp
+++ b/packages/caller/callersession.cpp
@@ -135,6 +135,13 @@
   RefuseIfIdle();
 }
 
+void
+CallerSession::RefuseWhenDone(ErrorFields aError)
+{
+  doneRefusal_ = std::move(aError);
+  RefuseIfIdle();
+}
+
 void
 CallerSession::RefuseAtStartup(ErrorFields aError)
 {
@@ -145,8 +152,13 @@
 CallerSession::RefuseIfIdle()
 {
   const bool inTransaction = status_ != TransactionStatus::Idle;
-  if (idleRefusal_ && state_ != State::Query && !inTransaction) {
+  if (state_ == State::Query) {
+    return;
+  }
+  if (idleRefusal_ && !inTransaction) {
     Refuse(*idleRefusal_);
+  } else if (doneRefusal_) {
+    Refuse(*doneRefusal_);
   }
 }
 
--- a/packages/caller/callersession.h
+++ b/packages/caller/callersession.h
@@ -107,6 +107,9 @@
   //! else after the FinishQuery that makes it so. The first error stays.
   void RefuseWhenIdle(ErrorFields aError);
 
+  //! Like RefuseWhenIdle, but an open transaction is ended with the session.
+  void RefuseWhenDone(ErrorFields aError);
+
   //! Before Start: refuses the startup packet with this error instead of
   //! calling OnStartup. Cancel requests are still served.
   void RefuseAtStartup(ErrorFields aError);
@@ -193,6 +196,7 @@
   bool writePosted_ = false;
   bool writePending_ = false;
   std::optional<ErrorFields> idleRefusal_;
+  std::optional<ErrorFields> doneRefusal_;
   std::optional<ErrorFields> startupRefusal_;
   std::unique_ptr<Decoder> decoder_;
   std::string queryId_;
--- a/packages/core/failover/failover.cpp
+++ b/packages/core/failover/failover.cpp
@@ -204,7 +204,9 @@
          Instant aNow,
          wire::HeartbeatReply& aReply)
 {
-  if (aNow - aState.leadingSince_ < kHostListSettleMs) {
+  // One that has no list can't be worse off with a short one.
+  if (aNow - aState.leadingSince_ < kHostListSettleMs &&
+      aHeartbeat.hosts_version() != 0) {
     aReply.set_hosts_version(aHeartbeat.hosts_version());
     return;
   }
--- a/packages/core/failover/internal/promotion.cpp
+++ b/packages/core/failover/internal/promotion.cpp
@@ -179,7 +179,10 @@
   confirm->set_term(LastChosenTerm(group));
   confirm->set_target(aReport.target());
   confirm->set_start_offset(aReport.synced_offset());
-  confirm->set_adopted_term(aReport.adopted_term());
+  const auto* target = positions::FindTarget(group, aReport.target());
+  if (target != nullptr && target->counts_terms()) {
+    confirm->set_adopted_term(aReport.adopted_term());
+  }
   ProposeRecord(aContext,
                 std::move(record),
                 "confirm " + aReport.target() + " as primary of " +
