Statements of unknown transactions aren't run; grants after a restart at once; heartbeats relayed; members that know no leader are left

It now says that it belongs to a transaction, and a link drops what stays unacknowledged for 1.5 s. Cause of the second lost after a restart: the new leader waited out a lease of grants that nobody held; the hosts that may hold one are recorded before their first grant.

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -501,6 +501,11 @@
       return;
     case Body::kHeartbeatReply: {
       const wire::HeartbeatReply& reply = aMessage.heartbeat_reply();
+      if (!reply.relayed_to().empty() &&
+          reply.relayed_to() != settings_.hostId_) {
+        SendControl(reply.relayed_to(), std::move(aMessage));
+        return;
+      }
       const foundation::HostId& leader =
         reply.leader() ? reply.from() : reply.leader_hint();
       if (!leader.empty()) {
--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -111,9 +111,12 @@
   membersKnown_[aHeartbeat.sender().host()] = aHeartbeat.members_index();
   const foundation::Instant received = SteadyNow();
   if (!leading_ || !member_.HoldsLease()) {
-    AnswerAsFollower(aHeartbeat);
+    if (!aHeartbeat.relay() || !Relay(aHeartbeat)) {
+      AnswerAsFollower(aHeartbeat);
+    }
     return;
   }
+  relays_[aHeartbeat.sender().host()] = aHeartbeat.relayed_by();
   failover::HeartbeatReceived event;
   event.heartbeat_ = std::move(aHeartbeat);
   event.receivedAt_ = received;
@@ -121,6 +124,34 @@
   Feed(event);
 }
 
+bool
+LeaderDriver::Relay(const wire::Heartbeat& aHeartbeat)
+{
+  const bool passedOn = !aHeartbeat.relayed_by().empty();
+  if (leaderHint_.empty() || leaderHint_ == self_ || passedOn) {
+    return false;
+  }
+  wire::PeerMessage message;
+  *message.mutable_heartbeat() = aHeartbeat;
+  message.mutable_heartbeat()->set_relayed_by(self_);
+  port_.SendControl(leaderHint_, std::move(message));
+  return true;
+}
+
+//! A reply goes back the way that the heartbeat came.
+void
+LeaderDriver::SendReply(const foundation::HostId& aHost,
+                        wire::PeerMessage aMessage)
+{
+  const auto relay = relays_.find(aHost);
+  if (relay == relays_.end() || relay->second.empty()) {
+    port_.SendControl(aHost, std::move(aMessage));
+    return;
+  }
+  aMessage.mutable_heartbeat_reply()->set_relayed_to(aHost);
+  port_.SendControl(relay->second, std::move(aMessage));
+}
+
 void
 LeaderDriver::AnswerAsFollower(const wire::Heartbeat& aHeartbeat)
 {
@@ -235,7 +266,7 @@
   reply = std::move(aAction.reply_);
   AddConfiguration(aAction.host_, reply);
   AddMembers(aAction.host_, reply);
-  port_.SendControl(aAction.host_, std::move(message));
+  SendReply(aAction.host_, std::move(message));
 }
 
 void
--- a/apps/wigeonlbd/control/leaderdriver.h
+++ b/apps/wigeonlbd/control/leaderdriver.h
@@ -73,6 +73,9 @@
   //! The control members, for a host that knows of an older change.
   void AddMembers(const foundation::HostId& aHost,
                   wire::HeartbeatReply& aReply) const;
+  //! Passes a heartbeat on to the leader; false when none is known.
+  bool Relay(const wire::Heartbeat& aHeartbeat);
+  void SendReply(const foundation::HostId& aHost, wire::PeerMessage aMessage);
   void AnswerAsFollower(const wire::Heartbeat& aHeartbeat);
   void AddConfiguration(const foundation::HostId& aHost,
                         wire::HeartbeatReply& aReply) const;
@@ -91,6 +94,8 @@
   std::size_t wantedVoters_ = 0;
   foundation::Instant membersPlannedAt_;
   std::map<foundation::HostId, std::uint64_t> membersKnown_; //!< by index
+  //! Members that relay the heartbeats of a host; none: it comes directly.
+  std::map<foundation::HostId, foundation::HostId> relays_;
   bool leading_ = false;
   std::map<foundation::HostId, foundation::Revision> inForce_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/apps/wigeonlbd/tests/connectionstate_tests.cpp
@@ -0,0 +1,94 @@
+#include <catch2/catch.hpp>
+
+#include "traffic/connectionstate.h"
+
+namespace wigeonlb::daemon::traffic {
+
+namespace {
+
+using Values = std::map<std::string, std::string>;
+
+constexpr target::Dialect kDialect = {
+  .name_ = "test",
+  .setPrefix_ = "SET ",
+  .resetStatement_ = "RESET",
+};
+
+wire::ForwardRequest
+RequestWith(const Values& aValues, const std::string& aPrepared = "")
+{
+  wire::ForwardRequest request;
+  for (const auto& [name, value] : aValues) {
+    auto& wanted = *request.add_values();
+    wanted.set_name(name);
+    wanted.set_value(value);
+  }
+  if (!aPrepared.empty()) {
+    request.mutable_prepared()->set_name(aPrepared);
+    request.mutable_prepared()->set_definition("PREPARE " + aPrepared);
+  }
+  return request;
+}
+
+std::string
+TextOf(const std::vector<target::Query>& aQueries)
+{
+  std::string text;
+  for (const target::Query& query : aQueries) {
+    CHECK(query.id_.empty());
+    text += (text.empty() ? "" : ";") + query.text_;
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("a connection gets what it lacks of a session", "[connectionstate]")
+{
+  struct Row
+  {
+    Values before_;
+    Values after_;
+    std::string prepared_;
+    std::string queries_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { {}, {}, "", "" },
+    { {}, { { "a", "1" } }, "", "SET a 1" },
+    { { { "a", "1" } }, { { "a", "1" } }, "", "" },
+    { { { "a", "1" } }, { { "a", "2" } }, "", "SET a 2" },
+    { { { "a", "1" } }, {}, "", "RESET" },
+    { { { "a", "1" }, { "b", "2" } }, { { "b", "2" } }, "", "RESET;SET b 2" },
+    { {}, {}, "p", "PREPARE p" },
+    { { { "a", "1" } }, { { "a", "1" } }, "p", "PREPARE p" },
+    { {}, { { "a", "1" } }, "p", "SET a 1;PREPARE p" },
+  }));
+  ConnectionState state;
+  FitConnection(state, RequestWith(row.before_), kDialect);
+  const auto request = RequestWith(row.after_, row.prepared_);
+  CHECK(TextOf(FitConnection(state, request, kDialect)) == row.queries_);
+  CHECK(FitConnection(state, request, kDialect).empty());
+}
+
+TEST_CASE("a reset forgets prepared statements, too", "[connectionstate]")
+{
+  ConnectionState state;
+  FitConnection(state, RequestWith({ { "a", "1" } }, "p"), kDialect);
+  CHECK(TextOf(FitConnection(state, RequestWith({}, "p"), kDialect)) ==
+        "RESET;PREPARE p");
+}
+
+TEST_CASE("prepared statements of a connection are bounded",
+          "[connectionstate]")
+{
+  ConnectionState state;
+  for (std::size_t i = 0; i < kPreparedLimit; ++i) {
+    FitConnection(state, RequestWith({}, "p" + std::to_string(i)), kDialect);
+  }
+  auto request = RequestWith({});
+  request.set_statement_class(wire::STATEMENT_BEGIN);
+  CHECK(TextOf(FitConnection(state, request, kDialect)) == "RESET");
+  CHECK(state.prepared_.empty());
+}
+
+} // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -225,6 +225,7 @@
   request_.set_group(group_);
   request_.set_database(database_);
   request_.set_tenant(tenant_);
+  request_.set_in_transaction(InTransaction());
   if (!AddStatement(aClass, aSql)) {
     return;
   }
--- a/apps/wigeonlbd/traffic/ownedsessions.cpp
+++ b/apps/wigeonlbd/traffic/ownedsessions.cpp
@@ -101,6 +101,7 @@
   }
   arrived.deadline_ = aNow + foundation::Duration(request.deadline_us());
   arrived.repeatable_ = request.repeatable();
+  arrived.inTransaction_ = request.in_transaction();
   arrived.keyed_ = !request.request_key().empty();
   arrived.dataCentre_ = request.data_centre();
   return arrived;
--- a/packages/caller/callersession.cpp
+++ b/packages/caller/callersession.cpp
@@ -361,6 +361,9 @@
     std::swap(writing_, queued_);
   }
   if (writing_.empty()) {
+    if (state_ == State::Closing) {
+      Linger(); // the protocol has no word for this end
+    }
     return;
   }
   writePending_ = true;
--- a/packages/core/configuration/applyrecord.cpp
+++ b/packages/core/configuration/applyrecord.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <set>
 
-#include <google/protobuf/util/message_differencer.h>
-
 #include "core/configuration/internal/changedraft.h"
 #include "core/configuration/internal/decisions.h"
 
@@ -61,7 +59,7 @@
 SameDatabase(const wire::DatabaseState& aPresent, wire::DatabaseState aWanted)
 {
   aWanted.set_revision(aPresent.revision());
-  return google::protobuf::util::MessageDifferencer::Equals(aPresent, aWanted);
+  return aPresent.SerializeAsString() == aWanted.SerializeAsString();
 }
 
 void
@@ -217,7 +215,9 @@
     return;
   }
   aResult.ignored_ = Decide(group->second, aDecision);
-  if (!aResult.ignored_.empty()) {
+  // Grantees concern leaders only: no host need hear of them.
+  if (!aResult.ignored_.empty() ||
+      std::is_same_v<Decision, wire::SetGrantees>) {
     return;
   }
   aState.set_revision(aState.revision() + 1);
@@ -262,6 +262,9 @@
     case wire::ControlRecord::kConfirm:
       ApplyDecision(aState, aRecord.confirm(), result);
       break;
+    case wire::ControlRecord::kGrantees:
+      ApplyDecision(aState, aRecord.grantees(), result);
+      break;
     case wire::ControlRecord::kMembers:
     case wire::ControlRecord::RECORD_NOT_SET:
       break;
--- a/packages/core/configuration/internal/decisions.cpp
+++ b/packages/core/configuration/internal/decisions.cpp
@@ -157,6 +157,13 @@
   return "";
 }
 
+std::string
+Decide(wire::GroupState& aGroup, const wire::SetGrantees& aGrantees)
+{
+  *aGroup.mutable_grantees() = aGrantees.hosts();
+  return "";
+}
+
 std::string
 Decide(wire::GroupState& aGroup, const wire::ConfirmPrimary& aConfirm)
 {
--- a/packages/core/configuration/internal/decisions.h
+++ b/packages/core/configuration/internal/decisions.h
@@ -18,5 +18,7 @@
 Decide(wire::GroupState& aGroup, const wire::ChoosePrimary& aChoose);
 std::string
 Decide(wire::GroupState& aGroup, const wire::ConfirmPrimary& aConfirm);
+std::string
+Decide(wire::GroupState& aGroup, const wire::SetGrantees& aGrantees);
 
 } // namespace wigeonlb::core::configuration
--- /dev/null
+++ b/packages/core/configuration/tests/numbered_tests.cpp
@@ -0,0 +1,150 @@
+#include <catch2/catch.hpp>
+
+#include "core/configuration/applyrecord.h"
+#include "core/configuration/configurationview.h"
+#include "core/configuration/delta.h"
+
+namespace wigeonlb::core::configuration {
+
+namespace {
+
+using Databases = std::map<std::string, std::uint64_t>; //!< timeout by name
+
+wire::ControlRecord
+Adopt(std::uint64_t aNumber,
+      const Databases& aDatabases,
+      const std::string& aId = "")
+{
+  wire::ControlRecord record;
+  auto& change = *record.mutable_change();
+  change.set_change_id(aId.empty() ? std::to_string(aNumber) : aId);
+  auto& adopt = *change.add_operations()->mutable_adopt();
+  adopt.set_number(aNumber);
+  adopt.set_document("document " + change.change_id());
+  auto& group = *adopt.add_groups();
+  group.set_group("g");
+  (*group.mutable_options())["acknowledge"] = "primary";
+  for (const auto& [name, timeout] : aDatabases) {
+    auto& database = *adopt.add_databases();
+    database.set_database(name);
+    database.set_group("g");
+    database.set_statement_timeout_us(timeout);
+  }
+  return record;
+}
+
+ApplyResult
+Apply(wire::ControlState& aState, const wire::ControlRecord& aRecord)
+{
+  return ApplyRecord(aState, aRecord, aState.applied_index() + 1);
+}
+
+Databases
+DatabasesOf(const wire::ControlState& aState)
+{
+  Databases databases;
+  for (const auto& [name, database] : aState.databases()) {
+    databases[name] = database.statement_timeout_us();
+  }
+  return databases;
+}
+
+} // namespace
+
+TEST_CASE("the highest number is in force", "[configuration][numbered]")
+{
+  struct Row
+  {
+    std::uint64_t number_;
+    std::string id_;
+    std::uint64_t inForce_;
+    Databases databases_;
+  };
+  // Behind number 7 with one database.
+  const auto row = GENERATE(values<Row>({
+    { 9, "9", 9, { { "d", 5 }, { "e", 6 } } },
+    { 7, "7 again", 7, { { "d", 1 } } },
+    { 6, "6", 7, { { "d", 1 } } },
+  }));
+  wire::ControlState state;
+  CHECK(Apply(state, Adopt(7, { { "d", 1 } })).change_->accepted());
+  const auto result =
+    Apply(state, Adopt(row.number_, { { "d", 5 }, { "e", 6 } }, row.id_));
+  CHECK(result.change_->accepted());
+  CHECK(result.changed_ == (row.inForce_ != 7));
+  CHECK(state.document_number() == row.inForce_);
+  CHECK(DatabasesOf(state) == row.databases_);
+}
+
+TEST_CASE("a configuration is refused whole", "[configuration][numbered]")
+{
+  struct Row
+  {
+    std::function<void(wire::NumberedConfiguration&)> spoil_;
+    std::string finding_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { [](auto& aAdopt) { aAdopt.mutable_databases(0)->set_group("other"); },
+      "unknown group" },
+    { [](auto& aAdopt) { aAdopt.mutable_databases(1)->set_database("d"); },
+      "named twice" },
+    { [](auto& aAdopt) {
+       (*aAdopt.mutable_groups(0)->mutable_options())["size"] = "many";
+     },
+      "size" },
+  }));
+  auto record = Adopt(1, { { "d", 1 }, { "e", 2 } });
+  row.spoil_(*record.mutable_change()->mutable_operations(0)->mutable_adopt());
+  wire::ControlState state;
+  const auto result = Apply(state, record);
+  CHECK_FALSE(result.change_->accepted());
+  CHECK(result.change_->message().find(row.finding_) != std::string::npos);
+  CHECK(state.databases().empty());
+  CHECK(state.groups().empty());
+}
+
+TEST_CASE("hosts get what changed, and no more", "[configuration][numbered]")
+{
+  wire::ControlState state;
+  Apply(state, Adopt(1, { { "d", 1 }, { "e", 1 }, { "f", 1 } }));
+  ConfigurationView view;
+  ApplyReply(view, DeltaSince(state, 0));
+  const auto before = state.revision();
+  Apply(state, Adopt(2, { { "d", 1 }, { "e", 2 } }));
+  Apply(state, Adopt(3, { { "d", 1 }, { "e", 2 }, { "f", 3 } }));
+  const auto delta = DeltaSince(state, before);
+  CHECK_FALSE(delta.whole());
+  CHECK(delta.groups_size() == 0);
+  CHECK(delta.databases_size() == 2);
+  ApplyReply(view, delta);
+  CHECK(DatabasesOf(view.state_) == DatabasesOf(state));
+}
+
+TEST_CASE("a choice's fence is its index in the log",
+          "[configuration][numbered]")
+{
+  wire::ControlState state;
+  Apply(state, Adopt(1, { { "d", 1 } }));
+  wire::ControlRecord admit;
+  admit.mutable_admit()->set_group("g");
+  admit.mutable_admit()->mutable_target()->set_target("a");
+  admit.mutable_admit()->mutable_target()->set_counted(true);
+  Apply(state, admit);
+  wire::ControlRecord choose;
+  choose.mutable_choose()->set_group("g");
+  choose.mutable_choose()->set_term(4);
+  choose.mutable_choose()->set_target("a");
+  Apply(state, choose);
+  CHECK(state.groups().at("g").choice_index() == state.applied_index());
+  // The target counts its terms itself.
+  wire::ControlRecord confirm;
+  confirm.mutable_confirm()->set_group("g");
+  confirm.mutable_confirm()->set_term(4);
+  confirm.mutable_confirm()->set_target("a");
+  confirm.mutable_confirm()->set_adopted_term(2);
+  Apply(state, confirm);
+  CHECK(state.groups().at("g").term() == 2);
+  CHECK(state.groups().at("g").history(0).term() == 2);
+}
+
+} // namespace wigeonlb::core::configuration
--- a/packages/core/consensus/consensus.h
+++ b/packages/core/consensus/consensus.h
@@ -36,11 +36,11 @@
   std::vector<foundation::HostId> founders_;
   //! Peer addresses of the founders, for whoever learns of them from the log.
   std::map<foundation::HostId, std::string> founderAddresses_;
-  foundation::Duration heartbeatInterval_ = std::chrono::milliseconds(100);
-  foundation::Duration electionTimeoutMin_ = std::chrono::milliseconds(400);
-  foundation::Duration electionTimeoutMax_ = std::chrono::milliseconds(800);
+  foundation::Duration heartbeatInterval_ = std::chrono::milliseconds(80);
+  foundation::Duration electionTimeoutMin_ = std::chrono::milliseconds(300);
+  foundation::Duration electionTimeoutMax_ = std::chrono::milliseconds(550);
   //! Shorter than electionTimeoutMin_ by more than the clocks' drift.
-  foundation::Duration leaseLength_ = std::chrono::milliseconds(350);
+  foundation::Duration leaseLength_ = std::chrono::milliseconds(250);
   std::size_t batchEntries_ = 64;
   std::size_t batchBytes_ = std::size_t{ 128 } * 1024;
   std::size_t snapshotChunkBytes_ = std::size_t{ 64 } * 1024;
--- /dev/null
+++ b/packages/core/consensus/tests/memberplan_tests.cpp
@@ -0,0 +1,160 @@
+#include <catch2/catch.hpp>
+
+#include "core/consensus/memberplan.h"
+#include "core/consensus/tests/virtualnetwork.h"
+
+namespace wigeonlb::core::consensus {
+
+namespace {
+
+using foundation::HostId;
+using foundation::Instant;
+using namespace std::chrono_literals;
+
+constexpr Instant kNow{ 1000s };
+
+//! What the leader of three voters knows.
+struct Fixture
+{
+  ConsensusState state_;
+
+  Fixture()
+  {
+    state_.settings_.self_ = "a";
+    state_.role_ = Role::Leader;
+    state_.hardState_.set_term(1);
+    state_.leadingSince_ = kNow - 60s;
+    wire::MemberChange members;
+    for (const char* host : { "a", "b", "c" }) {
+      members.add_voters(host);
+    }
+    state_.log_.members_ = { { 0, members } };
+    wire::ConsensusEntry entry;
+    entry.set_index(1);
+    entry.set_term(1);
+    Append(state_.log_, entry);
+    state_.commitIndex_ = 1;
+    for (const char* host : { "b", "c" }) {
+      Answer(host, 0s);
+    }
+  }
+
+  //! The host has answered so long ago, and holds everything.
+  void Answer(const HostId& aHost, foundation::Duration aAgo)
+  {
+    state_.progress_[aHost].answeredSentAt_ = kNow - aAgo;
+    state_.progress_[aHost].match_ = 1;
+  }
+
+  void AddLearner(const HostId& aHost, bool aCaughtUp)
+  {
+    state_.log_.members_.back().second.add_learners(aHost);
+    Answer(aHost, 0s);
+    state_.progress_[aHost].match_ = aCaughtUp ? 1 : 0;
+  }
+};
+
+std::string
+TextOf(const std::optional<wire::MemberChange>& aChange)
+{
+  if (!aChange) {
+    return "none";
+  }
+  std::string text;
+  for (const auto& host : aChange->voters()) {
+    text += host;
+  }
+  text += "/";
+  for (const auto& host : aChange->learners()) {
+    text += host;
+  }
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("members are changed one step at a time", "[consensus][members]")
+{
+  struct Row
+  {
+    std::vector<HostId> live_;
+    std::vector<std::pair<HostId, bool>> learners_; //!< caught up
+    std::vector<HostId> silent_;
+    std::size_t voters_;
+    std::string step_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { { "a", "b", "c" }, {}, {}, 3, "none" },
+    { { "a", "b", "c", "d" }, {}, {}, 3, "abc/d" },
+    { { "a", "b", "c", "d" }, { { "d", true } }, {}, 3, "none" },
+    { { "a", "b", "d" }, { { "d", true } }, { "c" }, 3, "abcd/" },
+    { { "a", "b", "d" }, { { "d", false } }, { "c" }, 3, "none" },
+    { { "a", "b" }, {}, { "c" }, 3, "none" },
+    { { "a", "b", "c", "d", "e" },
+      { { "d", true }, { "e", true } },
+      {},
+      5,
+      "abcd/e" },
+    { { "a", "b" }, {}, { "c" }, 2, "ab/c" },
+  }));
+  Fixture fixture;
+  for (const auto& [host, caughtUp] : row.learners_) {
+    fixture.AddLearner(host, caughtUp);
+  }
+  for (const auto& host : row.silent_) {
+    fixture.Answer(host, kVoterSilenceMs);
+  }
+  std::vector<MemberCandidate> live;
+  for (const auto& host : row.live_) {
+    live.push_back({ host, host + ":1" });
+  }
+  CHECK(TextOf(PlanMembers(fixture.state_, live, row.voters_, kNow)) ==
+        row.step_);
+}
+
+TEST_CASE("a change that isn't committed holds back the next",
+          "[consensus][members]")
+{
+  Fixture fixture;
+  fixture.state_.log_.members_.push_back(
+    { 2, fixture.state_.log_.members_.back().second });
+  const MemberCandidate live[] = { { "d", "d:1" } };
+  CHECK_FALSE(PlanMembers(fixture.state_, live, 3, kNow));
+}
+
+TEST_CASE("founders are remembered, whatever later settings name",
+          "[consensus][members]")
+{
+  ConsensusSettings settings;
+  settings.self_ = "a";
+  settings.founders_ = { "x", "y", "z" };
+  wire::HardState hardState;
+  for (const char* host : { "a", "b", "c" }) {
+    hardState.mutable_founders()->add_voters(host);
+  }
+  const auto state = MakeConsensusState(settings, hardState, {}, {}, kNow);
+  CHECK(Members(state).voters(0) == "a");
+  CHECK(Members(state).voters_size() == 3);
+}
+
+TEST_CASE("a host that may not found waits for a leader",
+          "[consensus][members]")
+{
+  ConsensusSettings settings;
+  settings.self_ = "a";
+  auto state = MakeConsensusState(settings, std::nullopt, {}, {}, kNow);
+  std::vector<Action> actions;
+  Step(state, Tick{}, kNow + 60s, actions);
+  CHECK(actions.empty());
+  CHECK(IsRecovering(state));
+}
+
+TEST_CASE("enough voters for the losses that are tolerated",
+          "[consensus][members]")
+{
+  const auto [losses, voters] = GENERATE(table<std::size_t, std::size_t>(
+    { { 0, 3 }, { 1, 3 }, { 2, 5 }, { 3, 7 }, { 9, 7 } }));
+  CHECK(VotersFor(losses) == voters);
+}
+
+} // namespace wigeonlb::core::consensus
--- a/packages/core/failover/failover.cpp
+++ b/packages/core/failover/failover.cpp
@@ -1,6 +1,7 @@
 #include "core/failover/failover.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/failover/internal/calm.h"
@@ -165,12 +166,48 @@
   return groups;
 }
 
+//! The record of possible holders is committed before one of them gets its
+//! first grant, so that the next leader knows whom to hear.
+void
+ProposeGrantees(FailoverState& aState,
+                const wire::GroupState& aGroup,
+                const foundation::HostId& aHost,
+                Instant aNow,
+                Actions& aActions)
+{
+  auto& proposedAt = aState.groups_[aGroup.group()].granteesProposedAt_;
+  if (proposedAt && aNow - *proposedAt < kRetryMs) {
+    return;
+  }
+  proposedAt = aNow;
+  const auto possible = grants::PossibleHolders(aState.grants_, aGroup, aNow);
+  std::set<foundation::HostId> hosts(possible.begin(), possible.end());
+  hosts.insert(aHost);
+  for (const auto& owner : aState.owners_.at(aGroup.group()).owners_) {
+    hosts.insert(owner);
+  }
+  wire::ControlRecord record;
+  record.mutable_grantees()->set_group(aGroup.group());
+  for (const auto& host : hosts) {
+    record.mutable_grantees()->add_hosts(host);
+  }
+  aActions.push_back(Propose{ std::move(record) });
+}
+
+bool
+IsGrantee(const wire::GroupState& aGroup, const foundation::HostId& aHost)
+{
+  return std::ranges::find(aGroup.grantees(), aHost) !=
+         aGroup.grantees().end();
+}
+
 void
 AddGrants(FailoverState& aState,
           const wire::ControlState& aControl,
           const HeartbeatReceived& aEvent,
           Instant aNow,
-          wire::HeartbeatReply& aReply)
+          wire::HeartbeatReply& aReply,
+          Actions& aActions)
 {
   RefreshOwners(aState, aControl);
   const auto& heartbeat = aEvent.heartbeat_;
@@ -179,6 +216,11 @@
     if (group == aControl.groups().end()) {
       continue;
     }
+    const auto& host = heartbeat.sender().host();
+    if (aState.guards_.recordsGrantees_ && !IsGrantee(group->second, host)) {
+      ProposeGrantees(aState, group->second, host, aNow, aActions);
+      continue;
+    }
     auto grant = grants::IssueGrant(aState.grants_,
                                     group->second,
                                     aState.owners_.at(name).owners_,
@@ -325,7 +367,7 @@
   NoteSoftState(aState, aControl, heartbeat, aNow);
   reply.set_leader(aNow < aEvent.leaderLeaseUntil_);
   if (reply.leader()) {
-    AddGrants(aState, aControl, aEvent, aNow, reply);
+    AddGrants(aState, aControl, aEvent, aNow, reply, aActions);
     AddHosts(aState, heartbeat, aNow, reply);
     reply.set_tell_holders(grants::WantsHolders(aState.grants_, aNow));
     const auto& host = heartbeat.sender().host();
--- a/packages/core/failover/failover.h
+++ b/packages/core/failover/failover.h
@@ -160,6 +160,7 @@
   bool promotionTaken_ = false; //!< the order was taken by who carries it out
   //! Of the change of primary under way.
   std::map<foundation::TargetName, FailedPromotion> failedPromotions_;
+  std::optional<foundation::Instant> granteesProposedAt_;
   foundation::Instant plannedAt_; //!< last attempt at a planned change
   std::string counted_;           //!< the counted targets, as last seen
   std::uint64_t countedRevision_ = 0;
@@ -180,6 +181,7 @@
   bool majorityRead_ = true;
   bool safeChoice_ = true;
   bool keepsMajorityOfSize_ = true;
+  bool recordsGrantees_ = true;
 };
 
 //! Owners of one group, for the live hosts and a revision of the group.
--- a/packages/core/grants/granttable.cpp
+++ b/packages/core/grants/granttable.cpp
@@ -254,6 +254,41 @@
     }
   }
   aTable.leadingSince_ = aNow;
+  aTable.heard_.clear();
+}
+
+bool
+KnowsHolders(const GrantTable& aTable, const wire::GroupState& aGroup)
+{
+  return !aGroup.grantees().empty() &&
+         std::ranges::all_of(aGroup.grantees(), [&](const auto& aHost) {
+           return aTable.heard_.contains(aHost);
+         });
+}
+
+std::vector<foundation::HostId>
+PossibleHolders(const GrantTable& aTable,
+                const wire::GroupState& aGroup,
+                Instant aNow)
+{
+  std::set<foundation::HostId> holding;
+  const auto holders = aTable.holders_.find(aGroup.group());
+  if (holders != aTable.holders_.end()) {
+    for (const auto& [key, record] : holders->second) {
+      if (!record.replaced_ && CountedShare(record, aNow) > 0) {
+        holding.insert(key.host_);
+      }
+    }
+  }
+  std::vector<foundation::HostId> possible;
+  for (const auto& host : aGroup.grantees()) {
+    const bool unheard = !aTable.heard_.contains(host) &&
+                         aNow < AssumedUntil(aTable, aGroup.group());
+    if (unheard || holding.contains(host)) {
+      possible.push_back(host);
+    }
+  }
+  return possible;
 }
 
 Instant
@@ -270,6 +305,7 @@
 {
   const auto key = KeyOf(aHeartbeat.sender());
   NoteBoot(aTable, key);
+  aTable.heard_.insert(key.host_);
   for (const auto& released : aHeartbeat.released()) {
     // The share stays counted until the lease ends: connections may be open.
     auto& record = RecordOf(aTable, released.group(), key);
@@ -311,7 +347,8 @@
   const auto& name = aGroup.group();
   DropEmpty(aTable, name, aNow);
   auto share = FittingShare(aTable, aGroup, aOwners, aHeartbeat, aNow);
-  if (MayRunFromEarlierLeader(aTable, name, aNow)) {
+  if (MayRunFromEarlierLeader(aTable, name, aNow) &&
+      !KnowsHolders(aTable, aGroup)) {
     share = CapDuringTakeover(share, aGroup, aHeartbeat);
   }
   if (share == 0) {
--- a/packages/core/grants/granttable.h
+++ b/packages/core/grants/granttable.h
@@ -44,6 +44,8 @@
   std::map<foundation::GroupName, GroupLease> leases_;
   //! When this host became leader; grants of an earlier one may run since.
   foundation::Instant leadingSince_;
+  //! Hosts that said since then what they hold.
+  std::set<foundation::HostId> heard_;
   bool assumeNothing_ = false; //!< for tests of the guard only
   bool forgetsEnded_ = false;  //!< for tests of the guard only
 };
@@ -79,6 +81,18 @@
            foundation::Instant aReceived,
            foundation::Instant aNow);
 
+//! True when every host that an earlier leader may have given a grant of the
+//! group has said since what it holds.
+bool
+KnowsHolders(const GrantTable& aTable, const wire::GroupState& aGroup);
+
+//! The hosts that may hold grants of the group: those of its record that this
+//! leader hasn't found without one.
+std::vector<foundation::HostId>
+PossibleHolders(const GrantTable& aTable,
+                const wire::GroupState& aGroup,
+                foundation::Instant aNow);
+
 //! Until when grants of an earlier leader may be in use for the group.
 foundation::Instant
 AssumedUntil(const GrantTable& aTable, std::string_view aGroup);
--- a/packages/core/grants/holder.cpp
+++ b/packages/core/grants/holder.cpp
@@ -92,10 +92,17 @@
           Instant aNow,
           Actions& aActions)
 {
-  if (aReply.from() == aState.members_[aState.followed_]) {
+  // A member that knows of no leader is as good as silent: it may be cut off
+  // together with others that know no more.
+  const bool useful = aReply.leader() || !aReply.leader_hint().empty();
+  const bool relayed = !aReply.relayed_to().empty();
+  if (useful &&
+      (relayed || aReply.from() == aState.members_[aState.followed_])) {
     aState.lastContact_ = aNow;
   }
-  FollowHint(aState, aReply, aNow);
+  if (!relayed) {
+    FollowHint(aState, aReply, aNow);
+  }
   const bool changes = aReply.whole() || aReply.groups_size() > 0 ||
                        aReply.dropped_groups_size() > 0 ||
                        aReply.revision() > aState.revision_;
--- a/packages/core/grants/holder.h
+++ b/packages/core/grants/holder.h
@@ -38,6 +38,10 @@
 constexpr foundation::Duration kHintDistrustMs =
   std::chrono::milliseconds(1000);
 
+//! A host that reaches members, but not the leader that they name, has its
+//! heartbeats relayed for this long before it tries the leader itself again.
+constexpr foundation::Duration kRelayMs = std::chrono::milliseconds(4000);
+
 //! Pause before a follower with such a hint is asked again.
 constexpr foundation::Duration kHintRetryMs = std::chrono::milliseconds(100);
 
@@ -69,6 +73,7 @@
   std::size_t followed_ = 0;        //!< index into members_
   std::size_t silent_ = 0;          //!< member that was given up last
   foundation::Instant silentUntil_; //!< hints to it are not taken before
+  foundation::Instant relayUntil_;  //!< members pass heartbeats on until then
   std::uint64_t sequence_ = 0;
   std::uint64_t lastReply_ = 0; //!< sequence of the newest leader's reply taken
   bool tellsHolders_ = false;   //!< the leader is new and asks for holders_
--- a/packages/core/grants/internal/holdercontact.cpp
+++ b/packages/core/grants/internal/holdercontact.cpp
@@ -80,6 +80,8 @@
   heartbeat.set_hosts_version(aState.hostsVersion_);
   heartbeat.set_last_reply(aState.lastReply_);
   heartbeat.set_members_index(aState.membersIndex_);
+  heartbeat.set_relay(aState.followed_ != aState.silent_ &&
+                      aNow < aState.relayUntil_);
   for (auto& [key, item] : aState.announcements_) {
     *heartbeat.add_announcements() = item.first;
     item.second = item.second == 0 ? aState.sequence_ : item.second;
@@ -152,6 +154,9 @@
   const auto index = static_cast<std::size_t>(place - aState.members_.begin());
   if (!aReply.leader() && index == aState.silent_ &&
       aNow < aState.silentUntil_) {
+    // The member reaches a leader that this host doesn't.
+    aState.relayUntil_ = aNow + kRelayMs;
+    aState.silentUntil_ = aState.relayUntil_;
     aState.nextHeartbeat_ =
       std::min(aState.nextHeartbeat_, aState.lastSent_ + kHintRetryMs);
     return;
--- a/packages/core/grants/tests/holder_tests.cpp
+++ b/packages/core/grants/tests/holder_tests.cpp
@@ -260,6 +260,78 @@
   CHECK(sent[0].member_ == row.askedNext_);
 }
 
+TEST_CASE("a member that knows of no leader is left", "[holder]")
+{
+  Fixture holder;
+  std::set<std::string> asked;
+  for (int i = 0; i < 300; ++i) {
+    holder.Feed(Tick{}, milliseconds(10));
+    for (const auto& sent : holder.Actions<SendHeartbeat>()) {
+      asked.insert(sent.member_);
+      wire::HeartbeatReply reply;
+      reply.set_from(sent.member_);
+      reply.set_sequence(sent.heartbeat_.sequence());
+      holder.Feed(ReplyReceived{ reply });
+    }
+  }
+  CHECK(asked.size() == 3);
+}
+
+TEST_CASE("heartbeats are relayed to a leader that is out of reach",
+          "[holder]")
+{
+  // m1 leads, but only m0 and m2 can be reached; they name it.
+  Fixture holder;
+  holder.Feed(ReplyReceived{ holder.Ask(1) });
+  bool granted = false;
+  for (int i = 0; i < 300 && !granted; ++i) {
+    holder.Feed(Tick{}, milliseconds(10));
+    for (const auto& sent : holder.Actions<SendHeartbeat>()) {
+      wire::HeartbeatReply reply;
+      reply.set_sequence(sent.heartbeat_.sequence());
+      reply.set_sent_at_us(sent.heartbeat_.sent_at_us());
+      if (sent.member_ == "m1") {
+        continue;
+      }
+      if (!sent.heartbeat_.relay()) {
+        reply.set_from(sent.member_);
+        reply.set_leader_hint("m1");
+      } else {
+        reply.set_from("m1");
+        reply.set_leader(true);
+        reply.set_relayed_to("h");
+        granted = true;
+      }
+      holder.Feed(ReplyReceived{ reply });
+    }
+  }
+  CHECK(granted);
+  CHECK(holder.state_.members_[holder.state_.followed_] != "m1");
+}
+
+TEST_CASE("members that are told take the place of the old ones", "[holder]")
+{
+  struct Row
+  {
+    std::vector<std::string> members_;
+    std::string followed_; //!< empty: any of them
+  };
+  const auto row = GENERATE(values<Row>({
+    { { "m1", "m7", "m8" }, "m1" },
+    { { "m7", "m8", "m9" }, "" },
+    { {}, "m1" },
+  }));
+  Fixture holder;
+  holder.Feed(ReplyReceived{ holder.Ask(1) });
+  holder.Feed(MembersChanged{ row.members_, 9 });
+  const auto& state = holder.state_;
+  const auto& followed = state.members_[state.followed_];
+  CHECK(state.membersIndex_ == 9);
+  CHECK((row.followed_.empty() || followed == row.followed_));
+  CHECK(holder.Ask(1).sequence() > 0);
+  CHECK(holder.sent_.members_index() == 9);
+}
+
 TEST_CASE("an outage of the primary is told at once", "[holder]")
 {
   Fixture holder;
--- a/packages/core/membership/tests/membership_tests.cpp
+++ b/packages/core/membership/tests/membership_tests.cpp
@@ -124,4 +124,55 @@
   CHECK(NewestReport(state, "g", "a")->report_.synced_offset() == 7);
 }
 
+TEST_CASE("late announcements change nothing", "[membership]")
+{
+  struct Row
+  {
+    std::uint64_t incarnation_, sequence_;
+    bool leaving_, taken_, takesWork_;
+  };
+  // Behind the announcement 5 of incarnation 100, which leaves.
+  const auto row = GENERATE(values<Row>({
+    { 100, 4, false, false, false },
+    { 100, 6, false, true, false }, // it goes on leaving
+    { 90, 99, false, false, false },
+    { 110, 1, false, true, true },
+    { 110, 1, true, true, false },
+  }));
+  const Instant now{ std::chrono::seconds(100) };
+  MembershipState state;
+  wire::Announcement first;
+  first.set_group("g");
+  first.set_target("t");
+  first.set_incarnation(100);
+  first.set_sequence(5);
+  first.set_leaving(true);
+  CHECK(NoteAnnouncement(state, first, now));
+  wire::Announcement second = first;
+  second.set_incarnation(row.incarnation_);
+  second.set_sequence(row.sequence_);
+  second.set_leaving(row.leaving_);
+  CHECK(NoteAnnouncement(state, second, now) == row.taken_);
+  CHECK(TakesNewWork(state, "g", "t", now) == row.takesWork_);
+}
+
+TEST_CASE("a target that is reached needs no announcement", "[membership]")
+{
+  const bool reached = GENERATE(true, false);
+  const Instant start{ std::chrono::seconds(100) };
+  const Instant now = start + 2 * kTargetSilenceMs;
+  MembershipState state;
+  wire::Announcement announcement;
+  announcement.set_group("g");
+  announcement.set_target("t");
+  announcement.set_incarnation(1);
+  NoteAnnouncement(state, announcement, start);
+  wire::TargetReport report;
+  report.set_group("g");
+  report.set_target("t");
+  report.set_reachable(reached);
+  NoteReport(state, "h", report, now);
+  CHECK(TakesNewWork(state, "g", "t", now) == reached);
+}
+
 } // namespace wigeonlb::core::membership
--- a/packages/core/traffic/events.h
+++ b/packages/core/traffic/events.h
@@ -104,6 +104,9 @@
   foundation::DataCentre dataCentre_;
   //! A write or BEGIN with a request key: its target runs it at most once.
   bool keyed_ = false;
+  //! A statement of the session's open transaction. Without one here, it was
+  //! lost, or the statement was held up on its way: it must not run alone.
+  bool inTransaction_ = false;
 };
 
 //! An OpenConnection succeeded; the connection is idle.
--- a/packages/core/traffic/internal/arrivals.cpp
+++ b/packages/core/traffic/internal/arrivals.cpp
@@ -157,6 +157,11 @@
   session.current_ = MakeRequest(aEvent, aContext.now_);
   Request& request = *session.current_;
   group.live_.insert(request);
+  if (aEvent.inTransaction_ && session.pinned_ == 0 && !session.aborted_) {
+    session.aborted_ = true;
+    session.told_ = false;
+    session.timedOut_ = false;
+  }
   if (session.aborted_) {
     AnswerAborted(aContext, session, request);
   } else if (session.pinned_ != 0) {
--- a/packages/core/traffic/tests/fakedriver.cpp
+++ b/packages/core/traffic/tests/fakedriver.cpp
@@ -10,10 +10,6 @@
 //! SQLSTATE of a write that the target refuses as read only.
 constexpr std::string_view kReadOnly = "25006";
 
-} // namespace
-
-namespace {
-
 constexpr std::uint64_t kEntryBytes = 100;
 
 } // namespace
--- a/packages/peer/internal/link.cpp
+++ b/packages/peer/internal/link.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+//! Bytes that stay unacknowledged for so long end the connection. As long as
+//! until a peer is lost.
+constexpr int kHeldBackLimitMs = 1500;
+
 constexpr int kSocketQueueMessages = 256;
 constexpr int kConnectTimeoutMs = 1500;
 constexpr int kReconnectMinMs = 50;
@@ -164,6 +168,9 @@
     dealer.set(zmq::sockopt::linger, 0);
     dealer.set(zmq::sockopt::sndhwm, kSocketQueueMessages);
     dealer.set(zmq::sockopt::rcvhwm, 1);
+    // What a cut link holds back is lost with it: a statement must not arrive
+    // when nobody waits for it any more.
+    dealer.set(zmq::sockopt::tcp_maxrt, kHeldBackLimitMs);
     // Messages wait in our queue, where they age, not in an unconnected socket.
     dealer.set(zmq::sockopt::immediate, true);
     dealer.set(zmq::sockopt::handshake_ivl, kConnectTimeoutMs);
