A host that is cut off says so, and sends its callers to others

Ruled out: that nothing can serve them: hosts of other zones could. A host that hears no leader tries others; when a fourth of them is lost, it isn't ready, and closes idle sessions. Control members that are down lose no entry host, so that all stay ready then.

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -384,6 +384,40 @@
   if (lastTick_ >= nextReports_) {
     nextReports_ = lastTick_ + kReportIntervalMs;
     traffic_.CollectReports();
+    WatchIsolation();
+  }
+}
+
+void
+ControlRuntime::WatchIsolation()
+{
+  if (!settings::TakesCallers(settings_)) {
+    return;
+  }
+  std::vector<foundation::HostId> others;
+  for (const wire::HostInfo& host : hosts_) {
+    if (!host.control_only() && host.host() != settings_.hostId_) {
+      others.push_back(host.host());
+    }
+  }
+  const auto tried = core::membership::WatchLeader(
+    isolation_, agent_->LeaderHeardAt(), others, lastTick_);
+  for (const foundation::HostId& host : tried) {
+    (void)links_->Touch(host); // one that can't be tried isn't lost
+  }
+  const bool changed = core::membership::JudgeIsolation(
+    isolation_,
+    [this](const foundation::HostId& aHost) { return IsLost(aHost); },
+    lastTick_);
+  if (!changed) {
+    return;
+  }
+  foundation::LogChange(
+    "control",
+    isolation_.cutOff_ ? "cut-off" : "cut-off-ended",
+    { { "tried", std::to_string(isolation_.tried_.size()) } });
+  if (isolation_.cutOff_) {
+    traffic_.SendCallersAway();
   }
 }
 
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -13,6 +13,7 @@
 #include "control/hostagent.h"
 #include "control/leaderdriver.h"
 #include "control/lostpeers.h"
+#include "core/membership/isolation.h"
 #include "peer/peerlinks.h"
 #include "settings/daemonsettings.h"
 
@@ -67,6 +68,8 @@
   bool IsLost(const foundation::HostId& aHost) const;
 
   // For the control thread only.
+  //! This host is cut off with a part of the system that can't serve.
+  bool IsCutOff() const { return isolation_.cutOff_; }
   HostAgent& Agent() { return *agent_; }
   ChangeDesk& Desk() { return *desk_; }
   const ConsensusMember* Member() const { return member_.get(); }
@@ -89,6 +92,8 @@
   //! Other control members are in force: they are asked, and links to them stay
   //! open from a control member.
   void TakeMembers(const wire::MemberChange& aMembers);
+  //! Finds out whether this host is cut off, and sends its callers away then.
+  void WatchIsolation();
   //! Knows the sender of a heartbeat, so that it can be answered.
   void EnsurePeer(const wire::HostInfo& aHost);
   bool IsMember() const { return member_ != nullptr; }
@@ -118,6 +123,7 @@
   std::string memberTrouble_;
   bool filesShort_ = false; //!< the limit of open files is too low
   LostPeers lostPeers_;
+  core::membership::Isolation isolation_;
   //! A decided change that this host has not in force yet.
   struct DecidedChange
   {
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -69,6 +69,7 @@
 {
   if (aReply.leader()) {
     heardLeader_ = true;
+    leaderHeardAt_ = SteadyNow();
     alone_ = false;
     TakeUnusable(aReply);
   }
@@ -87,6 +88,10 @@
   }
   std::vector<foundation::HostId> members(aReply.members().voters().begin(),
                                           aReply.members().voters().end());
+  // Learners can relay heartbeats.
+  members.insert(members.end(),
+                 aReply.members().learners().begin(),
+                 aReply.members().learners().end());
   for (const foundation::HostId& host : settings_.members_) {
     if (std::ranges::find(members, host) == members.end()) {
       members.push_back(host);
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -69,6 +69,9 @@
   //! Called with the live hosts whenever they change.
   std::function<void(const std::vector<wire::HostInfo>&)> onHosts_;
 
+  //! When a leader last answered; the start before the first time.
+  foundation::Instant LeaderHeardAt() const { return leaderHeardAt_; }
+
   const core::configuration::ConfigurationView& View() const { return view_; }
   const core::grants::HolderState& Holder() const { return holder_; }
   const std::vector<wire::HostInfo>& Hosts() const { return hosts_; }
@@ -103,6 +106,7 @@
   traffic::TrafficRuntime& traffic_;
   core::grants::HolderState holder_;
   foundation::Instant startedAt_ = foundation::SteadyNow();
+  foundation::Instant leaderHeardAt_ = startedAt_;
   bool heardLeader_ = false;
   bool alone_ = false; //!< no leader was heard for kAloneMs since the start
   core::configuration::ConfigurationView view_;
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -130,7 +130,8 @@
   ControlInterface interface;
   interface.isServing_ = [this] {
     // A host that knows no group yet could only refuse its callers.
-    return !draining_ && control_->Agent().View().state_.revision() != 0;
+    return !draining_ && control_->Agent().View().state_.revision() != 0 &&
+           !control_->IsCutOff();
   };
   interface.onAnnouncement_ = [this](wire::Announcement&& aAnnouncement) {
     control_->Agent().OnAnnouncement(aAnnouncement);
--- a/apps/wigeonlbd/traffic/trafficruntime.h
+++ b/apps/wigeonlbd/traffic/trafficruntime.h
@@ -56,6 +56,8 @@
 
   //! Takes no new callers and closes sessions as they become idle.
   void Drain();
+  //! Closes the sessions that are open now as they become idle.
+  void SendCallersAway() { server_->SendAway(); }
   //! Ends open transactions as soon as nothing runs in them.
   void EndTransactions() { server_->EndTransactions(); }
   std::size_t SessionCount() const { return server_->SessionCount(); }
--- a/packages/caller/callerserver.cpp
+++ b/packages/caller/callerserver.cpp
@@ -36,6 +36,14 @@
            .hint_ = "Connect to another server." };
 }
 
+ErrorFields
+SentAway()
+{
+  return { .sqlstate_ = std::string(sqlstates::kAdminShutdown),
+           .message_ = "the server is cut off from the rest of the system",
+           .hint_ = "Connect to another server." };
+}
+
 ErrorFields
 TransactionEnded()
 {
@@ -95,6 +103,13 @@
     }
   }
 
+  void SendAway()
+  {
+    for (CallerSession& session : sessions_) {
+      session.RefuseWhenIdle(SentAway());
+    }
+  }
+
   void EndTransactions()
   {
     for (CallerSession& session : sessions_) {
@@ -233,6 +248,15 @@
   }
 }
 
+void
+CallerServer::SendAway()
+{
+  for (const auto& shard : shards_) {
+    boost::asio::post(shard->Context(),
+                      [shard = shard.get()] { shard->SendAway(); });
+  }
+}
+
 void
 CallerServer::EndTransactions()
 {
--- /dev/null
+++ b/packages/core/membership/isolation.cpp
@@ -0,0 +1,45 @@
+#include "core/membership/isolation.h"
+
+#include <algorithm>
+
+namespace wigeonlb::core::membership {
+
+using foundation::HostId;
+using foundation::Instant;
+
+std::vector<HostId>
+WatchLeader(Isolation& aState,
+            Instant aLeaderHeardAt,
+            std::span<const HostId> aHosts,
+            Instant aNow)
+{
+  if (aNow - aLeaderHeardAt < kLeaderSilenceMs) {
+    aState.tried_.clear();
+    return {};
+  }
+  if (!aState.tried_.empty()) {
+    return {};
+  }
+  const auto count = std::min(aHosts.size(), kHostsTried);
+  aState.tried_.assign(aHosts.begin(), aHosts.begin() + count);
+  aState.triedAt_ = aNow;
+  return aState.tried_;
+}
+
+bool
+JudgeIsolation(Isolation& aState,
+               const std::function<bool(const HostId&)>& aIsLost,
+               Instant aNow)
+{
+  const bool before = aState.cutOff_;
+  if (aState.tried_.empty()) {
+    aState.cutOff_ = false;
+  } else if (aNow - aState.triedAt_ >= kProofMs) {
+    const auto lost = static_cast<std::size_t>(
+      std::ranges::count_if(aState.tried_, aIsLost));
+    aState.cutOff_ = lost * kLostPart >= aState.tried_.size();
+  }
+  return before != aState.cutOff_;
+}
+
+} // namespace wigeonlb::core::membership
--- /dev/null
+++ b/packages/core/membership/isolation.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <span>
+#include <vector>
+
+#include "foundation/clock.h"
+#include "foundation/identifiers.h"
+
+//! Whether a host is cut off together with a part of the system that can't
+//! serve, so that its callers are better off elsewhere.
+namespace wigeonlb::core::membership {
+
+//! Silence of the control leader after which other hosts are tried: a few
+//! heartbeats.
+constexpr foundation::Duration kLeaderSilenceMs =
+  std::chrono::milliseconds(600);
+
+//! Time for the hosts that were tried to answer or to be found lost; a little
+//! above that of the links.
+constexpr foundation::Duration kProofMs = std::chrono::milliseconds(1700);
+
+//! Hosts that are tried at most.
+constexpr std::size_t kHostsTried = 12;
+
+//! One in so many of the tried hosts must be lost. While only the control
+//! members are down, other hosts still answer, and all are equally badly off.
+constexpr std::size_t kLostPart = 4;
+
+struct Isolation
+{
+  foundation::Instant triedAt_;
+  std::vector<foundation::HostId> tried_;
+  bool cutOff_ = false;
+};
+
+//! Takes the time at which the leader was last heard. Returns the hosts to try
+//! now: a connection to each is to be opened.
+std::vector<foundation::HostId>
+WatchLeader(Isolation& aState,
+            foundation::Instant aLeaderHeardAt,
+            std::span<const foundation::HostId> aHosts,
+            foundation::Instant aNow);
+
+//! Judges by the hosts that were tried. Returns true when the judgement has
+//! changed.
+bool
+JudgeIsolation(Isolation& aState,
+               const std::function<bool(const foundation::HostId&)>& aIsLost,
+               foundation::Instant aNow);
+
+} // namespace wigeonlb::core::membership
