--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -107,6 +107,7 @@
   agent.self_.set_control_only(!settings::TakesCallers(settings_));
   agent.self_.set_may_vote(settings::MayJoin(settings_));
   agent.members_ = MemberNames(settings_);
+  agent.expectsConfiguration_ = !settings_.controlSeeds_.empty();
   agent.heartbeatInterval_ = settings_.heartbeatInterval_;
   agent.seed_ = boot_;
   agent.trace_ = trace_;
@@ -186,13 +187,8 @@
   const target::Login login{
     settings_.targetUser_, target::ApplicationName(settings_.hostId_, boot_)
   };
-  leader_ = std::make_unique<LeaderDriver>(context_,
-                                           settings_.hostId_,
-                                           login,
-                                           targets_,
-                                           promote_,
-                                           *member_,
-                                           *this);
+  leader_ = std::make_unique<LeaderDriver>(
+    context_, settings_.hostId_, login, targets_, promote_, *member_, *this);
   if (!settings_.controlSeeds_.empty()) {
     leader_->SetWantedVoters(WantedVoters());
   }
@@ -302,8 +298,7 @@
     aHost.host() == settings_.hostId_ ||
     std::ranges::any_of(hosts_, sameHost) ||
     memberAddresses_.contains(aHost.host()) ||
-    (newcomer != newcomers_.end() &&
-     newcomer->second == aHost.peer_address());
+    (newcomer != newcomers_.end() && newcomer->second == aHost.peer_address());
   if (!known) {
     newcomers_[aHost.host()] = aHost.peer_address();
     SetPeers();
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -121,8 +121,8 @@
 void
 HostAgent::OnAnnouncement(const wire::Announcement& aAnnouncement)
 {
-  const bool taken = core::membership::NoteAnnouncement(
-    announced_, aAnnouncement, SteadyNow());
+  const bool taken =
+    core::membership::NoteAnnouncement(announced_, aAnnouncement, SteadyNow());
   if (!taken) {
     return; // late
   }
@@ -144,8 +144,7 @@
     const wire::TargetState* const target =
       configuration::FindTarget(group, aTarget);
     if (target == nullptr ||
-        aIncarnation.value_or(target->incarnation()) !=
-          target->incarnation()) {
+        aIncarnation.value_or(target->incarnation()) != target->incarnation()) {
       continue;
     }
     wire::Announcement& announcement = gone.emplace_back();
@@ -388,6 +387,7 @@
 {
   auto table = std::make_shared<traffic::RoutingTable>();
   table->revision_ = view_.state_.revision();
+  table->known_ = KnowsConfiguration();
   for (const auto& [name, group] : view_.state_.groups()) {
     table->groups_.emplace(name, RouteOf(group));
     if (view_.state_.databases().empty()) {
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -22,6 +22,8 @@
 {
   wire::HostInfo self_;
   std::vector<foundation::HostId> members_;
+  //! The system is never without a configuration for long: callers wait for it.
+  bool expectsConfiguration_ = false;
   foundation::Duration heartbeatInterval_{ 0 };
   std::uint64_t seed_ = 0;
   recording::TraceRecorder* trace_ = nullptr; //!< none: nothing is recorded
@@ -69,6 +71,12 @@
   //! Called with the live hosts whenever they change.
   std::function<void(const std::vector<wire::HostInfo>&)> onHosts_;
 
+  //! Names that aren't known here are known nowhere.
+  bool KnowsConfiguration() const
+  {
+    return !settings_.expectsConfiguration_ || view_.state_.revision() != 0;
+  }
+
   //! When a leader last answered; the start before the first time.
   foundation::Instant LeaderHeardAt() const { return leaderHeardAt_; }
 
--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -66,8 +66,8 @@
       live.push_back({ name, host.info_.peer_address() });
     }
   }
-  const auto step = core::consensus::PlanMembers(
-    member_.Consensus(), live, wantedVoters_, now);
+  const auto step =
+    core::consensus::PlanMembers(member_.Consensus(), live, wantedVoters_, now);
   if (!step) {
     return;
   }
--- a/apps/wigeonlbd/control/promotionport.h
+++ b/apps/wigeonlbd/control/promotionport.h
@@ -23,8 +23,8 @@
 using PromotionDone = std::function<void(PromotionResult)>;
 
 //! The port through which a chosen target is made primary. The order carries
-//! its fence: a later choice has a higher one. An order may be given again while
-//! it isn't answered, and may be carried out late.
+//! its fence: a later choice has a higher one. An order may be given again
+//! while it isn't answered, and may be carried out late.
 using PromotionPort = std::function<void(boost::asio::io_context& aContext,
                                          const core::failover::OrderPromotion&,
                                          PromotionDone aDone)>;
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -130,22 +130,20 @@
   ControlInterface interface;
   interface.isServing_ = [this] {
     // A host that knows no group yet could only refuse its callers.
-    return !draining_ && control_->Agent().View().state_.revision() != 0 &&
+    return !draining_ && control_->Agent().KnowsConfiguration() &&
            !control_->IsCutOff();
   };
   interface.onAnnouncement_ = [this](wire::Announcement&& aAnnouncement) {
     control_->Agent().OnAnnouncement(aAnnouncement);
   };
-  interface.onTargetGone_ = [this](
-                              const foundation::TargetName& aTarget,
-                              std::optional<std::uint64_t> aIncarnation) {
+  interface.onTargetGone_ = [this](const foundation::TargetName& aTarget,
+                                   std::optional<std::uint64_t> aIncarnation) {
     control_->Agent().OnTargetGone(aTarget, aIncarnation);
   };
-  interface.adopt_ =
-    [this](wire::NumberedConfiguration aConfiguration,
-           const std::function<void(AdoptionAnswer)>& aDone) {
-      Adopt(std::move(aConfiguration), aDone);
-    };
+  interface.adopt_ = [this](wire::NumberedConfiguration aConfiguration,
+                            const std::function<void(AdoptionAnswer)>& aDone) {
+    Adopt(std::move(aConfiguration), aDone);
+  };
   interface.readDocument_ =
     [this](const operations::Operations::DocumentDone& aDone) {
       operations_->ReadDocument(aDone);
@@ -186,7 +184,8 @@
   }
 }
 
-//! What can't change while the process runs stays as it is until the next start.
+//! What can't change while the process runs stays as it is until the next
+//! start.
 void
 Daemon::ReloadSettings()
 {
--- a/apps/wigeonlbd/daemon.h
+++ b/apps/wigeonlbd/daemon.h
@@ -32,8 +32,8 @@
   //! Serves until a signal; returns the exit code.
   int Run();
 
-  //! Called at SIGHUP and when the settings file has changed. Gives the settings
-  //! as they are now, or nothing when they have findings.
+  //! Called at SIGHUP and when the settings file has changed. Gives the
+  //! settings as they are now, or nothing when they have findings.
   using Reload = std::function<std::optional<settings::DaemonSettings>()>;
   void SetReload(Reload aReload, std::string aFile);
 
--- a/apps/wigeonlbd/daemonmain.cpp
+++ b/apps/wigeonlbd/daemonmain.cpp
@@ -109,8 +109,7 @@
   if (aParsed.count("settings-file") != 0) {
     return aParsed["settings-file"].as<std::string>();
   }
-  const char* const path =
-    std::getenv(aPorts.settingsFileVariable_.c_str());
+  const char* const path = std::getenv(aPorts.settingsFileVariable_.c_str());
   return path == nullptr ? std::string() : std::string(path);
 }
 
--- a/apps/wigeonlbd/operations/operations.h
+++ b/apps/wigeonlbd/operations/operations.h
@@ -23,7 +23,8 @@
 
   //! The newest numbered configuration, or nothing when no leader is sure of
   //! it. Control thread only.
-  using DocumentDone = std::function<void(std::optional<ConfigurationDocument>)>;
+  using DocumentDone =
+    std::function<void(std::optional<ConfigurationDocument>)>;
   void ReadDocument(const DocumentDone& aDone);
 
 private:
--- a/apps/wigeonlbd/settings/daemonsettings.h
+++ b/apps/wigeonlbd/settings/daemonsettings.h
@@ -45,7 +45,7 @@
   //! The seeds found the system if none of them has a past.
   bool founding_ = false;
   std::size_t toleratedLosses_ = 0; //!< disks lost at once
-  std::string dataFolder_; //!< empty: none, and never a control member
+  std::string dataFolder_;          //!< empty: none, and never a control member
   std::string targetUser_;
   std::size_t trafficThreads_ = 0;
   std::size_t maxSessions_ = 0;
--- a/apps/wigeonlbd/settings/settingsfile.cpp
+++ b/apps/wigeonlbd/settings/settingsfile.cpp
@@ -21,9 +21,8 @@
 bool
 IsSetting(std::string_view aName)
 {
-  return std::ranges::any_of(SettingRows(), [&](const SettingRow& aRow) {
-    return aRow.flag_ == aName;
-  });
+  return std::ranges::any_of(
+    SettingRows(), [&](const SettingRow& aRow) { return aRow.flag_ == aName; });
 }
 
 //! The value as a flag's text; nothing for a table, a list or a date.
@@ -67,7 +66,8 @@
     const std::string place = PlaceOf(aPath, node.source());
     const auto text = TextOf(node);
     if (!IsSetting(name)) {
-      foundation::AddFinding(aFindings, place, "unknown setting '" + name + "'");
+      foundation::AddFinding(
+        aFindings, place, "unknown setting '" + name + "'");
     } else if (!text) {
       foundation::AddFinding(
         aFindings, place, name + ": expected a text, a number or a flag");
@@ -92,10 +92,9 @@
   if (path_.empty() || ::stat(path_.c_str(), &found) != 0) {
     return {};
   }
-  return { found.st_mtim.tv_sec,
-           found.st_mtim.tv_nsec,
-           found.st_size,
-           found.st_ino };
+  return {
+    found.st_mtim.tv_sec, found.st_mtim.tv_nsec, found.st_size, found.st_ino
+  };
 }
 
 bool
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -53,7 +53,7 @@
   if (const DatabaseRoute* const database = FindDatabase()) {
     group_ = database->group_;
   }
-  if (context_.routes_ == nullptr || context_.routes_->revision_ == 0) {
+  if (context_.routes_ != nullptr && !context_.routes_->known_) {
     caller_->Refuse({ "FATAL",
                       std::string(sqlstates::kNotRun),
                       "this host knows no configuration yet",
@@ -102,12 +102,15 @@
 EntrySession::Route() const
 {
   // An open transaction stays with its group whatever becomes of the database.
-  const DatabaseRoute* const database = FindDatabase();
-  if (!InTransaction() && database == nullptr) {
-    return nullptr;
+  foundation::GroupName group = group_;
+  if (!InTransaction()) {
+    const DatabaseRoute* const database = FindDatabase();
+    if (database == nullptr) {
+      return nullptr;
+    }
+    group = database->group_;
   }
-  const auto found = context_.routes_->groups_.find(
-    InTransaction() ? group_ : database->group_);
+  const auto found = context_.routes_->groups_.find(group);
   return found == context_.routes_->groups_.end() ? nullptr : &found->second;
 }
 
@@ -169,9 +172,9 @@
     AnswerDone("PREPARE");
   } else if (const auto* deallocate = std::get_if<Deallocate>(&aStep)) {
     if (prepared_.erase(deallocate->name_) == 0) {
-      FailLocally({ sqlstates::kUnknownStatement,
-                    "there is no prepared statement '" + deallocate->name_ +
-                      "'" });
+      FailLocally(
+        { sqlstates::kUnknownStatement,
+          "there is no prepared statement '" + deallocate->name_ + "'" });
       return true;
     }
     AnswerDone("DEALLOCATE");
@@ -561,11 +564,11 @@
 EntrySession::LostSqlstate() const
 {
   const wire::StatementClass kind = request_.statement_class();
-  const bool keepsNothing =
-    InTransaction() ? kind != wire::STATEMENT_COMMIT
-                    : kind != wire::STATEMENT_WRITE;
-  return keepsNothing ? sqlstates::kTransactionLost
-                      : sqlstates::kOutcomeUnknown;
+  const bool keepsNothing = InTransaction() ? kind != wire::STATEMENT_COMMIT
+                                            : kind != wire::STATEMENT_WRITE;
+  // Rows that went on to the caller are told as an answer that was cut off.
+  return keepsNothing && piecesSeen_ == 0 ? sqlstates::kTransactionLost
+                                          : sqlstates::kOutcomeUnknown;
 }
 
 void
@@ -600,8 +603,7 @@
     HandOver();
     return;
   }
-  GiveUp({ LostSqlstate(),
-           "outcome unknown: host " + aHost + " was lost" });
+  GiveUp({ LostSqlstate(), "outcome unknown: host " + aHost + " was lost" });
 }
 
 void
--- a/apps/wigeonlbd/traffic/groupconnection.cpp
+++ b/apps/wigeonlbd/traffic/groupconnection.cpp
@@ -98,9 +98,9 @@
   if (aPreamble.probe_) {
     queries.push_back({ std::string(dialect_.statusStatement_) });
   }
-  queries.push_back({ target::FloorPrefix(dialect_, aPreamble.floor_) +
-                        aStatement.statement(),
-                      aStatement.statement_id() });
+  queries.push_back(
+    { target::FloorPrefix(dialect_, aPreamble.floor_) + aStatement.statement(),
+      aStatement.statement_id() });
   return connection_->Send(queries);
 }
 
@@ -306,10 +306,9 @@
 }
 
 void
-GroupConnection::OnIdle(
-  target::TargetConnection& /*aConnection*/,
-  char aStatus,
-  const std::optional<foundation::LogPosition>& aPosition)
+GroupConnection::OnIdle(target::TargetConnection& /*aConnection*/,
+                        char aStatus,
+                        const std::optional<foundation::LogPosition>& aPosition)
 {
   if (keyed_ && ContinueKeyed(aStatus)) {
     return;
@@ -329,8 +328,7 @@
     heldEnd_.swap(frames_);
     frames_.clear();
   }
-  user_.OnStatementEnd(
-    *this, error_, aStatus, aPosition, std::move(heldEnd_));
+  user_.OnStatementEnd(*this, error_, aStatus, aPosition, std::move(heldEnd_));
 }
 
 //! What was held back as the end of the answer was not its end.
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -230,11 +230,12 @@
 }
 
 void
-OwnerGroup::OnStatementEnd(GroupConnection& aConnection,
-                           const target::SqlError& aError,
-                           char aTransactionStatus,
-                           const std::optional<foundation::LogPosition>& aPosition,
-                           std::string aHeldEnd)
+OwnerGroup::OnStatementEnd(
+  GroupConnection& aConnection,
+  const target::SqlError& aError,
+  char aTransactionStatus,
+  const std::optional<foundation::LogPosition>& aPosition,
+  std::string aHeldEnd)
 {
   OwnedSession* const session = sessions_.Find(aConnection.Request().session_);
   if (session != nullptr) {
@@ -457,12 +458,8 @@
 OwnerGroup::MakeConnection(core_traffic::ConnectionId aId,
                            const foundation::TargetName& aTarget)
 {
-  return std::make_unique<GroupConnection>(context_,
-                                           *this,
-                                           aId,
-                                           aTarget,
-                                           DialectOf(aTarget),
-                                           settings_.protocols_);
+  return std::make_unique<GroupConnection>(
+    context_, *this, aId, aTarget, DialectOf(aTarget), settings_.protocols_);
 }
 
 target::TargetAddress
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -114,7 +114,7 @@
 
   GroupConnection* FindConnection(core::traffic::ConnectionId aId);
   ConnectionPointer MakeConnection(core::traffic::ConnectionId aId,
-                                  const foundation::TargetName& aTarget);
+                                   const foundation::TargetName& aTarget);
   void Retire(ConnectionPointer aConnection);
   void SendFrames(OwnedSession& aSession, std::string aFrames);
   //! The request with its key, if it has one.
--- a/apps/wigeonlbd/traffic/routingtable.h
+++ b/apps/wigeonlbd/traffic/routingtable.h
@@ -44,6 +44,9 @@
 struct RoutingTable
 {
   foundation::Revision revision_ = 0;
+  //! False on a host that waits for its first configuration: a name that isn't
+  //! here may be known elsewhere.
+  bool known_ = true;
   std::map<foundation::GroupName, GroupRoute, std::less<>> groups_;
   std::map<std::string, DatabaseRoute, std::less<>> databases_;
 };
--- a/packages/announcements/announcementroutes.cpp
+++ b/packages/announcements/announcementroutes.cpp
@@ -33,7 +33,8 @@
 } // namespace
 
 void
-RegisterAnnouncementRoutes(http::HttpRouter& aRouter, AnnouncementCallbacks aCallbacks)
+RegisterAnnouncementRoutes(http::HttpRouter& aRouter,
+                           AnnouncementCallbacks aCallbacks)
 {
   aRouter.Add("GET",
               "/healthz",
--- a/packages/announcements/announcementroutes.h
+++ b/packages/announcements/announcementroutes.h
@@ -19,6 +19,7 @@
 //! Adds `GET /healthz` (200 while serving, else 503) and `POST /announce` (200,
 //! or 400 with every finding).
 void
-RegisterAnnouncementRoutes(http::HttpRouter& aRouter, AnnouncementCallbacks aCallbacks);
+RegisterAnnouncementRoutes(http::HttpRouter& aRouter,
+                           AnnouncementCallbacks aCallbacks);
 
 } // namespace wigeonlb::announcements
--- a/packages/caller/callerserver.h
+++ b/packages/caller/callerserver.h
@@ -59,12 +59,12 @@
   //! progress and no open transaction. From any thread.
   void CloseIdle();
 
-  //! Closes the sessions that are open now, each as soon as it is idle. New ones
-  //! are taken. From any thread.
+  //! Closes the sessions that are open now, each as soon as it is idle. New
+  //! ones are taken. From any thread.
   void SendAway();
 
-  //! Ends open transactions with their sessions, each as soon as it has no query
-  //! in progress. From any thread.
+  //! Ends open transactions with their sessions, each as soon as it has no
+  //! query in progress. From any thread.
   void EndTransactions();
 
   //! Closes every session at once. From any thread.
--- a/packages/caller/pgprotocol.cpp
+++ b/packages/caller/pgprotocol.cpp
@@ -181,10 +181,17 @@
 }
 
 constexpr Protocol kPostgresql = {
-  MakeDecoder,           AppendAccepted,       AppendReadyForQuery,
-  AppendErrorResponse,   AppendErrorResponse,  AppendParameterStatus,
-  AppendRowDescription,  AppendDataRow,        AppendCommandComplete,
-  AppendCommandComplete, AppendEmptyQueryResponse,
+  MakeDecoder,
+  AppendAccepted,
+  AppendReadyForQuery,
+  AppendErrorResponse,
+  AppendErrorResponse,
+  AppendParameterStatus,
+  AppendRowDescription,
+  AppendDataRow,
+  AppendCommandComplete,
+  AppendCommandComplete,
+  AppendEmptyQueryResponse,
 };
 
 } // namespace
--- a/packages/core/configuration/internal/changedraft.h
+++ b/packages/core/configuration/internal/changedraft.h
@@ -25,8 +25,7 @@
 inline bool
 IsUnchanged(const ChangeDraft& aDraft)
 {
-  return aDraft.groups_.empty() && !aDraft.settingsChanged_ &&
-         !aDraft.adopted_;
+  return aDraft.groups_.empty() && !aDraft.settingsChanged_ && !aDraft.adopted_;
 }
 
 //! Carries out the operations on copies of what they touch, each on the
--- a/packages/core/configuration/internal/decisions.cpp
+++ b/packages/core/configuration/internal/decisions.cpp
@@ -176,9 +176,8 @@
            std::to_string(aConfirm.term());
   }
   // The targets' own count of terms can differ from that of the choices.
-  const std::uint64_t term = aConfirm.adopted_term() != 0
-                               ? aConfirm.adopted_term()
-                               : aConfirm.term();
+  const std::uint64_t term =
+    aConfirm.adopted_term() != 0 ? aConfirm.adopted_term() : aConfirm.term();
   if (!aGroup.primary().empty() && term <= aGroup.term()) {
     return "term " + std::to_string(term) + " is not above " +
            std::to_string(aGroup.term());
--- a/packages/core/consensus/consensus.cpp
+++ b/packages/core/consensus/consensus.cpp
@@ -243,10 +243,9 @@
   } else {
     // Those that it has founded with: the settings may name others by now.
     const auto& founders = state.hardState_.founders();
-    state.log_.members_ = { { 0,
-                              founders.voters().empty()
-                                ? FoundingMembers(aSettings)
-                                : founders } };
+    state.log_.members_ = {
+      { 0, founders.voters().empty() ? FoundingMembers(aSettings) : founders }
+    };
   }
   for (const wire::ConsensusEntry& entry : aEntries) {
     if (entry.index() == LastIndex(state.log_) + 1) {
--- a/packages/core/consensus/memberplan.cpp
+++ b/packages/core/consensus/memberplan.cpp
@@ -27,10 +27,9 @@
   const auto progress = aState.progress_.find(aHost);
   const bool answered = progress != aState.progress_.end() &&
                         progress->second.answeredSentAt_.has_value();
-  const Instant since = answered
-                          ? std::max(*progress->second.answeredSentAt_,
-                                     aState.leadingSince_)
-                          : aState.leadingSince_;
+  const Instant since =
+    answered ? std::max(*progress->second.answeredSentAt_, aState.leadingSince_)
+             : aState.leadingSince_;
   return aNow - since >= kVoterSilenceMs;
 }
 
@@ -112,8 +111,7 @@
   if (auto learners = WithLearners(aState, aLive)) {
     return learners;
   }
-  const auto voters =
-    static_cast<std::size_t>(Members(aState).voters_size());
+  const auto voters = static_cast<std::size_t>(Members(aState).voters_size());
   const HostId silent = FindSilentVoter(aState, aNow);
   if (!silent.empty() && voters > aVoters) {
     return WithoutVoter(aState, silent, aNow);
--- a/packages/core/consensus/memberplan.h
+++ b/packages/core/consensus/memberplan.h
@@ -30,9 +30,8 @@
 VotersFor(std::size_t aLosses)
 {
   const std::size_t voters = 2 * aLosses + 1;
-  return voters < kFewestVoters
-           ? kFewestVoters
-           : (voters > kMostVoters ? kMostVoters : voters);
+  return voters < kFewestVoters ? kFewestVoters
+                                : (voters > kMostVoters ? kMostVoters : voters);
 }
 
 //! The leader's next step towards that many voters that answer, or nothing. A
--- a/packages/core/failover/failover.cpp
+++ b/packages/core/failover/failover.cpp
@@ -194,11 +194,19 @@
   aActions.push_back(Propose{ std::move(record) });
 }
 
+//! NOTE Only for groups that need no majority: where it is needed, the owners
+//! of a new leader come by their first grants as before.
+bool
+RecordsGrantees(const FailoverState& aState, const wire::GroupState& aGroup)
+{
+  return aState.guards_.recordsGrantees_ &&
+         AcknowledgementOf(aGroup) != Acknowledgement::Majority;
+}
+
 bool
 IsGrantee(const wire::GroupState& aGroup, const foundation::HostId& aHost)
 {
-  return std::ranges::find(aGroup.grantees(), aHost) !=
-         aGroup.grantees().end();
+  return std::ranges::find(aGroup.grantees(), aHost) != aGroup.grantees().end();
 }
 
 void
@@ -217,7 +225,8 @@
       continue;
     }
     const auto& host = heartbeat.sender().host();
-    if (aState.guards_.recordsGrantees_ && !IsGrantee(group->second, host)) {
+    if (RecordsGrantees(aState, group->second) &&
+        !IsGrantee(group->second, host)) {
       ProposeGrantees(aState, group->second, host, aNow, aActions);
       continue;
     }
@@ -242,13 +251,16 @@
 
 void
 AddHosts(const FailoverState& aState,
+         const wire::ControlState& aControl,
          const wire::Heartbeat& aHeartbeat,
          Instant aNow,
          wire::HeartbeatReply& aReply)
 {
-  // One that has no list can't be worse off with a short one.
-  if (aNow - aState.leadingSince_ < kHostListSettleMs &&
-      aHeartbeat.hosts_version() != 0) {
+  // Under a numbered configuration all hosts start together, and one that has
+  // no list yet can't be worse off with a short one.
+  const bool first =
+    aHeartbeat.hosts_version() == 0 && aControl.document_number() != 0;
+  if (aNow - aState.leadingSince_ < kHostListSettleMs && !first) {
     aReply.set_hosts_version(aHeartbeat.hosts_version());
     return;
   }
@@ -368,7 +380,7 @@
   reply.set_leader(aNow < aEvent.leaderLeaseUntil_);
   if (reply.leader()) {
     AddGrants(aState, aControl, aEvent, aNow, reply, aActions);
-    AddHosts(aState, heartbeat, aNow, reply);
+    AddHosts(aState, aControl, heartbeat, aNow, reply);
     reply.set_tell_holders(grants::WantsHolders(aState.grants_, aNow));
     const auto& host = heartbeat.sender().host();
     AddUnusable(aState, aControl, host, aNow, reply);
--- a/packages/core/failover/internal/candidates.cpp
+++ b/packages/core/failover/internal/candidates.cpp
@@ -240,8 +240,7 @@
   if (requested || (isOther(chosen) && !IsPlanned(group))) {
     return chosen;
   }
-  const bool strict =
-    AcknowledgementOf(group) == Acknowledgement::OneReplica;
+  const bool strict = AcknowledgementOf(group) == Acknowledgement::OneReplica;
   const auto* primary = positions::FindTarget(group, group.primary());
   const bool leaves = primary != nullptr && primary->leaving();
   const auto wait =
--- a/packages/core/failover/internal/promotion.cpp
+++ b/packages/core/failover/internal/promotion.cpp
@@ -194,8 +194,8 @@
 ConfirmByRead(GroupContext& aContext)
 {
   const auto& progress = aContext.progress_;
-  const auto* report = OwnReport(
-    aContext, aContext.group_.promoting(), *progress.promotionSince_);
+  const auto* report =
+    OwnReport(aContext, aContext.group_.promoting(), *progress.promotionSince_);
   if (report == nullptr || !LeadsChoice(aContext, *report)) {
     return false;
   }
--- a/packages/core/grants/holder.h
+++ b/packages/core/grants/holder.h
@@ -34,14 +34,10 @@
   std::chrono::milliseconds(400);
 
 //! A follower may still name a leader that has just been silent here: for this
-//! long its word is not taken, and it is asked again.
+//! long its word is not taken, and it is asked to pass heartbeats on.
 constexpr foundation::Duration kHintDistrustMs =
   std::chrono::milliseconds(1000);
 
-//! A host that reaches members, but not the leader that they name, has its
-//! heartbeats relayed for this long before it tries the leader itself again.
-constexpr foundation::Duration kRelayMs = std::chrono::milliseconds(4000);
-
 //! Pause before a follower with such a hint is asked again.
 constexpr foundation::Duration kHintRetryMs = std::chrono::milliseconds(100);
 
@@ -69,7 +65,7 @@
 {
   wire::HostInfo self_;
   std::vector<foundation::HostId> members_;
-  std::uint64_t membersIndex_ = 0; //!< of the change that named them
+  std::uint64_t membersIndex_ = 0;  //!< of the change that named them
   std::size_t followed_ = 0;        //!< index into members_
   std::size_t silent_ = 0;          //!< member that was given up last
   foundation::Instant silentUntil_; //!< hints to it are not taken before
--- a/packages/core/grants/internal/holdercontact.cpp
+++ b/packages/core/grants/internal/holdercontact.cpp
@@ -155,8 +155,7 @@
   if (!aReply.leader() && index == aState.silent_ &&
       aNow < aState.silentUntil_) {
     // The member reaches a leader that this host doesn't.
-    aState.relayUntil_ = aNow + kRelayMs;
-    aState.silentUntil_ = aState.relayUntil_;
+    aState.relayUntil_ = aState.silentUntil_;
     aState.nextHeartbeat_ =
       std::min(aState.nextHeartbeat_, aState.lastSent_ + kHintRetryMs);
     return;
--- a/packages/core/membership/isolation.cpp
+++ b/packages/core/membership/isolation.cpp
@@ -35,8 +35,8 @@
   if (aState.tried_.empty()) {
     aState.cutOff_ = false;
   } else if (aNow - aState.triedAt_ >= kProofMs) {
-    const auto lost = static_cast<std::size_t>(
-      std::ranges::count_if(aState.tried_, aIsLost));
+    const auto lost =
+      static_cast<std::size_t>(std::ranges::count_if(aState.tried_, aIsLost));
     aState.cutOff_ = lost * kLostPart >= aState.tried_.size();
   }
   return before != aState.cutOff_;
--- a/packages/core/traffic/internal/acknowledgement.cpp
+++ b/packages/core/traffic/internal/acknowledgement.cpp
@@ -244,14 +244,12 @@
   const CommitPositionRead read{ aConnection.id_,
                                  InGrantTerm(aContext.group_, aPosition),
                                  std::nullopt };
-  const bool continues =
-    ContinuesLog(aContext.group_, aConnection, read);
+  const bool continues = ContinuesLog(aContext.group_, aConnection, read);
   aRequest.connection_ = 0;
   PutBack(aContext, aConnection);
   if (!continues) {
-    FinishUnknown(aContext,
-                  aRequest,
-                  "the primary's log did not go on from where it was");
+    FinishUnknown(
+      aContext, aRequest, "the primary's log did not go on from where it was");
     return;
   }
   AwaitAcknowledgement(aContext, aRequest, read.position_);
--- a/packages/core/traffic/internal/answers.cpp
+++ b/packages/core/traffic/internal/answers.cpp
@@ -118,8 +118,7 @@
   const Duration spent = aContext.now_ - aConnection.since_;
   routing::CountAnswer(aConnection.target_->health_, spent);
   JudgeReplicas(aContext);
-  const bool byStatement =
-    aConnection.target_->state_.slots_by_statement();
+  const bool byStatement = aConnection.target_->state_.slots_by_statement();
   if (byStatement ? IsControlStatement(aRequest) : aStatus != 'I') {
     return;
   }
@@ -195,8 +194,8 @@
 {
   const bool replicaRead = !aRequest.inTransaction_ && !IsOnPrimary(aRequest);
   const bool readOnly = aEvent.refusal_ == Refusal::ReadOnly;
-  const bool refused = aEvent.refusal_ == Refusal::Behind ||
-                       aEvent.refusal_ == Refusal::Busy;
+  const bool refused =
+    aEvent.refusal_ == Refusal::Behind || aEvent.refusal_ == Refusal::Busy;
   aRequest.connection_ = 0;
   Target& target = *aConnection.target_;
   const LogPosition floor = aConnection.floor_;
@@ -279,8 +278,7 @@
 {
   const char status = aEvent.transactionStatus_;
   aRequest.alreadyDone_ = aEvent.alreadyDone_;
-  if (NeedsAcknowledgement(
-        aContext, aConnection, aSession, aRequest, aEvent)) {
+  if (NeedsAcknowledgement(aContext, aConnection, aSession, aRequest, aEvent)) {
     aSession.pinned_ = 0;
     aSession.wrote_ = false;
     // From here on the outcome no longer depends on the transaction.
--- a/packages/core/traffic/internal/connections.cpp
+++ b/packages/core/traffic/internal/connections.cpp
@@ -232,8 +232,7 @@
   if (read && checks) {
     const auto required = RequiredPosition(group, aRequest, aContext.now_);
     // The primary under the grant needs no vouching for an age.
-    aConnection.floor_ =
-      CarriedOver(group, required.value_or(aRequest.floor_));
+    aConnection.floor_ = CarriedOver(group, required.value_or(aRequest.floor_));
   }
   pool::ChangeState(
     target.pool_, aConnection, ConnectionState::Busy, aContext.now_);
--- a/packages/core/traffic/internal/dispatch.cpp
+++ b/packages/core/traffic/internal/dispatch.cpp
@@ -66,9 +66,8 @@
     std::ranges::all_of(aGroup.state_.targets(), [](const auto& aTarget) {
       return aTarget.checks_positions();
     });
-  const bool read =
-    aRequest.class_ == wire::STATEMENT_READ ||
-    (aRequest.class_ == wire::STATEMENT_BEGIN_READ && checked);
+  const bool read = aRequest.class_ == wire::STATEMENT_READ ||
+                    (aRequest.class_ == wire::STATEMENT_BEGIN_READ && checked);
   return read && !aRequest.mustBePrimary_;
 }
 
--- a/packages/core/traffic/internal/floors.cpp
+++ b/packages/core/traffic/internal/floors.cpp
@@ -62,8 +62,7 @@
 {
   LogPosition required = aRequest.floor_;
   if (aRequest.class_ == wire::STATEMENT_PRIMARY_READ) {
-    required =
-      std::max(required, routing::NewestPosition(aGroup.samples_));
+    required = std::max(required, routing::NewestPosition(aGroup.samples_));
   }
   if (aRequest.maxAge_) {
     const auto floor = AgeFloor(aGroup, *aRequest.maxAge_, aNow);
@@ -94,8 +93,7 @@
 LogPosition
 InGrantTerm(const Group& aGroup, const LogPosition& aPosition)
 {
-  const bool earlier =
-    aGroup.grant_ && aPosition.term_ < aGroup.grant_->term_;
+  const bool earlier = aGroup.grant_ && aPosition.term_ < aGroup.grant_->term_;
   return { earlier ? aGroup.grant_->term_ : aPosition.term_,
            aPosition.offset_ };
 }
--- a/packages/core/traffic/internal/outcomes.cpp
+++ b/packages/core/traffic/internal/outcomes.cpp
@@ -41,10 +41,8 @@
   if (!aRequest.inTransaction_) {
     return IsRead(aRequest.class_);
   }
-  const Session& session =
-    aContext.group_.sessions_.at(aRequest.id_.session_);
-  return aRequest.class_ != wire::STATEMENT_COMMIT ||
-         session.term_ == 0;
+  const Session& session = aContext.group_.sessions_.at(aRequest.id_.session_);
+  return aRequest.class_ != wire::STATEMENT_COMMIT || session.term_ == 0;
 }
 
 // The transaction of a statement that is given up is rolled back. What was to
--- a/packages/core/traffic/internal/targets.cpp
+++ b/packages/core/traffic/internal/targets.cpp
@@ -52,8 +52,8 @@
   if (aNow < aTarget.refusedUntil_ && floor >= aTarget.refusedFloor_) {
     return "behind the floor";
   }
-  const auto arrival = routing::ExpectedArrival(
-    aTarget.applied_, aGroup.samples_, floor, aNow);
+  const auto arrival =
+    routing::ExpectedArrival(aTarget.applied_, aGroup.samples_, floor, aNow);
   return arrival && *arrival > aNow ? "behind the floor" : "";
 }
 
--- a/packages/foundation/logging.cpp
+++ b/packages/foundation/logging.cpp
@@ -49,7 +49,7 @@
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
       LOG4CXX_STR("%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p module=%c %m%n"));
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
+      layout, log4cxx::ConsoleAppender::getSystemOut());
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
     root->addAppender(appender);
--- a/packages/foundation/logging.h
+++ b/packages/foundation/logging.h
@@ -10,7 +10,7 @@
 //! One `key=value` of a log line.
 using LogField = std::pair<std::string_view, std::string>;
 
-//! Sends log lines to standard error at the named level (`debug`, `info`,
+//! Sends log lines to standard output at the named level (`debug`, `info`,
 //! `warn`, `error`). Returns false for another name.
 bool
 SetUpLogging(std::string_view aLevel);
--- a/packages/target/pgconnection.cpp
+++ b/packages/target/pgconnection.cpp
@@ -97,7 +97,7 @@
 } // namespace
 
 PgConnection::PgConnection(boost::asio::io_context& aContext,
-                                   TargetObserver& aObserver)
+                           TargetObserver& aObserver)
   : context_(aContext)
   , observer_(aObserver)
   , socket_(aContext)
@@ -111,8 +111,7 @@
 }
 
 void
-PgConnection::Open(const TargetAddress& aAddress,
-                       foundation::Duration aTimeout)
+PgConnection::Open(const TargetAddress& aAddress, foundation::Duration aTimeout)
 {
   state_ = State::Connecting;
   connection_ = PQconnectStart(ConnectionText(aAddress).c_str());
