--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -243,94 +243,6 @@
   onOperatorMessage_ = std::move(aHandler);
 }
 
-std::size_t
-ControlRuntime::WantedVoters() const
-{
-  return core::consensus::VotersFor(settings_.toleratedLosses_);
-}
-
-void
-ControlRuntime::SetPeers()
-{
-  std::map<foundation::HostId, peer::PeerEndpoint> peers;
-  for (const auto& [host, address] : newcomers_) {
-    peers[host] = { host, address };
-  }
-  for (const wire::HostInfo& host : hosts_) {
-    peers[host.host()] = { host.host(), host.peer_address() };
-  }
-  for (const auto& [host, address] : memberAddresses_) {
-    peers[host] = { host, address, IsMember() };
-  }
-  std::vector<peer::PeerEndpoint> endpoints;
-  endpoints.reserve(peers.size());
-  for (const auto& [host, endpoint] : peers) {
-    endpoints.push_back(endpoint);
-  }
-  links_->SetPeers(endpoints);
-  CheckFileLimit(endpoints.size());
-  for (const wire::HostInfo& host : hosts_) {
-    if (IsLost(host.host())) {
-      (void)links_->Touch(host.host()); // it may be back
-    }
-  }
-}
-
-void
-ControlRuntime::TakeMembers(const wire::MemberChange& aMembers)
-{
-  for (const auto& [host, address] : aMembers.addresses()) {
-    memberAddresses_[host] = address;
-  }
-  desk_->SetMembers({ aMembers.voters().begin(), aMembers.voters().end() });
-  SetPeers();
-}
-
-void
-ControlRuntime::EnsurePeer(const wire::HostInfo& aHost)
-{
-  const auto sameHost = [&](const wire::HostInfo& aKnown) {
-    return aKnown.host() == aHost.host() &&
-           aKnown.peer_address() == aHost.peer_address();
-  };
-  const auto newcomer = newcomers_.find(aHost.host());
-  const bool known =
-    aHost.host() == settings_.hostId_ ||
-    std::ranges::any_of(hosts_, sameHost) ||
-    memberAddresses_.contains(aHost.host()) ||
-    (newcomer != newcomers_.end() && newcomer->second == aHost.peer_address());
-  if (!known) {
-    newcomers_[aHost.host()] = aHost.peer_address();
-    SetPeers();
-  }
-}
-
-void
-ControlRuntime::PostSeeds(std::vector<settings::ControlMember> aSeeds)
-{
-  boost::asio::post(context_, [this, seeds = std::move(aSeeds)] {
-    for (const settings::ControlMember& seed : seeds) {
-      memberAddresses_[seed.host_] = seed.peerAddress_;
-    }
-    SetPeers();
-  });
-}
-
-void
-ControlRuntime::CheckFileLimit(std::size_t aHosts)
-{
-  const std::uint64_t limit = settings::FileLimit();
-  const std::uint64_t needed = settings::FilesNeeded(aHosts);
-  if (std::exchange(filesShort_, limit < needed) || !filesShort_) {
-    return;
-  }
-  foundation::LogWarning("control",
-                         "file-limit-too-low",
-                         { { "hosts", std::to_string(aHosts) },
-                           { "limit", std::to_string(limit) },
-                           { "needed", std::to_string(needed) } });
-}
-
 void
 ControlRuntime::Run()
 {
@@ -383,39 +295,6 @@
   }
 }
 
-void
-ControlRuntime::WatchIsolation()
-{
-  if (!settings::TakesCallers(settings_)) {
-    return;
-  }
-  std::vector<foundation::HostId> others;
-  for (const wire::HostInfo& host : hosts_) {
-    if (!host.control_only() && host.host() != settings_.hostId_) {
-      others.push_back(host.host());
-    }
-  }
-  const auto tried = core::membership::WatchLeader(
-    isolation_, agent_->LeaderHeardAt(), others, lastTick_);
-  for (const foundation::HostId& host : tried) {
-    (void)links_->Touch(host); // one that can't be tried isn't lost
-  }
-  const bool changed = core::membership::JudgeIsolation(
-    isolation_,
-    [this](const foundation::HostId& aHost) { return IsLost(aHost); },
-    lastTick_);
-  if (!changed) {
-    return;
-  }
-  foundation::LogChange(
-    "control",
-    isolation_.cutOff_ ? "cut-off" : "cut-off-ended",
-    { { "tried", std::to_string(isolation_.tried_.size()) } });
-  if (isolation_.cutOff_) {
-    traffic_.SendCallersAway();
-  }
-}
-
 void
 ControlRuntime::SubmitChange(wire::ConfigurationChange aChange,
                              ChangeDone aDone)
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -88,32 +88,6 @@
   caller_->AcceptStartup(parameters, key_);
 }
 
-const DatabaseRoute*
-EntrySession::FindDatabase() const
-{
-  if (context_.routes_ == nullptr) {
-    return nullptr;
-  }
-  const auto found = context_.routes_->databases_.find(database_);
-  return found == context_.routes_->databases_.end() ? nullptr : &found->second;
-}
-
-const GroupRoute*
-EntrySession::Route() const
-{
-  // An open transaction stays with its group whatever becomes of the database.
-  foundation::GroupName group = group_;
-  if (!InTransaction()) {
-    const DatabaseRoute* const database = FindDatabase();
-    if (database == nullptr) {
-      return nullptr;
-    }
-    group = database->group_;
-  }
-  const auto found = context_.routes_->groups_.find(group);
-  return found == context_.routes_->groups_.end() ? nullptr : &found->second;
-}
-
 void
 EntrySession::OnQuery(std::string_view aSql)
 {
@@ -150,47 +124,6 @@
   SendRequest(verdict, aSql);
 }
 
-bool
-EntrySession::TakeSessionStep(const core::classification::SessionStep& aStep)
-{
-  using namespace core::classification;
-  const bool failed = status_ == caller::TransactionStatus::Failed;
-  if (std::holds_alternative<std::monostate>(aStep) ||
-      std::holds_alternative<Execute>(aStep)) {
-    return false;
-  }
-  if (failed) {
-    FailLocally({ sqlstates::kFailedTransaction,
-                  "the transaction has failed; end it first" });
-    return true;
-  }
-  if (const auto* value = std::get_if<SetValue>(&aStep)) {
-    values_[value->name_] = value->value_;
-    AnswerDone("SET");
-  } else if (const auto* prepare = std::get_if<Prepare>(&aStep)) {
-    prepared_[prepare->name_] = *prepare;
-    AnswerDone("PREPARE");
-  } else if (const auto* deallocate = std::get_if<Deallocate>(&aStep)) {
-    if (prepared_.erase(deallocate->name_) == 0) {
-      FailLocally(
-        { sqlstates::kUnknownStatement,
-          "there is no prepared statement '" + deallocate->name_ + "'" });
-      return true;
-    }
-    AnswerDone("DEALLOCATE");
-  }
-  return true;
-}
-
-void
-EntrySession::AnswerDone(std::string_view aTag)
-{
-  std::string frames;
-  context_.protocol_->appendOwnComplete_(frames, aTag);
-  caller_->Send(std::move(frames));
-  caller_->FinishQuery(status_);
-}
-
 void
 EntrySession::AnswerSetting(const core::classification::OwnSetting& aSetting)
 {
@@ -254,87 +187,6 @@
   HandOver();
 }
 
-bool
-EntrySession::AddStatement(const core::classification::Classification& aClass,
-                           std::string_view aSql)
-{
-  request_.set_statement_class(aClass.class_);
-  request_.set_statement(std::string(aSql));
-  request_.set_repeatable(aClass.repeatable_);
-  request_.set_statement_id(caller_->QueryId());
-  for (const auto& [name, value] : values_) {
-    wire::SessionValue& wanted = *request_.add_values();
-    wanted.set_name(name);
-    wanted.set_value(value);
-  }
-  const auto* execute =
-    std::get_if<core::classification::Execute>(&aClass.sessionStep_);
-  if (execute == nullptr) {
-    return true;
-  }
-  const auto found = prepared_.find(execute->name_);
-  if (found == prepared_.end()) {
-    FailLocally({ sqlstates::kUnknownStatement,
-                  "there is no prepared statement '" + execute->name_ + "'" });
-    return false;
-  }
-  const core::classification::Prepare& prepared = found->second;
-  request_.set_statement_class(prepared.class_);
-  request_.set_statement(execute->before_ + prepared.sharedName_ +
-                         execute->behind_);
-  request_.mutable_prepared()->set_name(prepared.sharedName_);
-  request_.mutable_prepared()->set_definition(prepared.definition_);
-  return true;
-}
-
-//! What a read of the session may see, by the policy of its database. Within a
-//! transaction that was settled at its beginning.
-void
-EntrySession::AddReadBounds(const GroupRoute& aRoute)
-{
-  const DatabaseRoute* const database = FindDatabase();
-  const wire::ReadPolicy policy =
-    database == nullptr ? wire::READ_SESSION : database->readPolicy_;
-  if (policy == wire::READ_PRIMARY && !InTransaction()) {
-    if (request_.statement_class() == wire::STATEMENT_READ) {
-      request_.set_statement_class(wire::STATEMENT_PRIMARY_READ);
-    } else if (request_.statement_class() == wire::STATEMENT_BEGIN_READ) {
-      request_.set_statement_class(wire::STATEMENT_BEGIN);
-    }
-    return;
-  }
-  std::optional<Duration> maxAge = settings_.maxAge_;
-  if (!maxAge) {
-    const bool own = database != nullptr && database->maxAge_.has_value();
-    maxAge = own ? database->maxAge_ : aRoute.maxAge_;
-  }
-  if (maxAge) {
-    request_.set_max_age_us(static_cast<std::uint64_t>(maxAge->count()));
-  }
-  if (policy == wire::READ_BOUNDED) {
-    return;
-  }
-  const foundation::LogPosition floor =
-    core::session::FloorOf(settings_.floors_, group_);
-  request_.mutable_floor()->set_term(floor.term_);
-  request_.mutable_floor()->set_offset(floor.offset_);
-  request_.set_needs_fresh_floor(settings_.needsFreshFloor_ &&
-                                 !InTransaction());
-}
-
-Duration
-EntrySession::StatementTime(const GroupRoute& aRoute) const
-{
-  const DatabaseRoute* const database = FindDatabase();
-  if (database != nullptr && database->statementTimeout_ > Duration::zero()) {
-    return database->statementTimeout_;
-  }
-  const Duration routeDeadline =
-    IsRead() ? aRoute.readDeadline_ : aRoute.writeDeadline_;
-  return routeDeadline > Duration::zero() ? routeDeadline
-                                          : context_.statementDeadline_;
-}
-
 bool
 EntrySession::IsRead() const
 {
@@ -558,19 +410,6 @@
              " within the deadline" });
 }
 
-//! Of a request whose owner gives no answer. What only reads, and what runs in
-//! a transaction that is given up with its owner, keeps nothing.
-std::string_view
-EntrySession::LostSqlstate() const
-{
-  const wire::StatementClass kind = request_.statement_class();
-  const bool keepsNothing = InTransaction() ? kind != wire::STATEMENT_COMMIT
-                                            : kind != wire::STATEMENT_WRITE;
-  // Rows that went on to the caller are told as an answer that was cut off.
-  return keepsNothing && piecesSeen_ == 0 ? sqlstates::kTransactionLost
-                                          : sqlstates::kOutcomeUnknown;
-}
-
 void
 EntrySession::OnHostLost(const foundation::HostId& aHost)
 {
--- /dev/null
+++ b/apps/wigeonlbd/traffic/ownerconnections.cpp
@@ -0,0 +1,96 @@
+// The owner group's connections to its targets, and what goes back over links.
+#include "traffic/ownergroup.h"
+
+#include <boost/asio/post.hpp>
+
+#include "core/configuration/applyrecord.h"
+
+namespace wigeonlb::daemon::traffic {
+
+namespace core_traffic = core::traffic;
+
+GroupConnection*
+OwnerGroup::FindConnection(core_traffic::ConnectionId aId)
+{
+  const auto found = connections_.find(aId);
+  return found == connections_.end() ? nullptr : found->second.get();
+}
+
+OwnerGroup::ConnectionPointer
+OwnerGroup::MakeConnection(core_traffic::ConnectionId aId,
+                           const foundation::TargetName& aTarget)
+{
+  return std::make_unique<GroupConnection>(
+    context_, *this, aId, aTarget, DialectOf(aTarget), settings_.protocols_);
+}
+
+target::TargetAddress
+OwnerGroup::AddressOf(const foundation::TargetName& aTarget,
+                      const std::string& aAddress) const
+{
+  const wire::TargetState* const target =
+    core::configuration::FindTarget(group_, aTarget);
+  return { aAddress,
+           settings_.group_,
+           settings_.login_,
+           aTarget,
+           target == nullptr ? 0 : target->incarnation() };
+}
+
+//! Destroys a connection once none of its methods is on the stack.
+void
+OwnerGroup::Retire(ConnectionPointer aConnection)
+{
+  boost::asio::post(
+    context_,
+    [connection = std::shared_ptr<GroupConnection>(std::move(aConnection))] {});
+}
+
+void
+OwnerGroup::SendFrames(OwnedSession& aSession, std::string aFrames)
+{
+  aSession.passedBytes_ += aFrames.size();
+  wire::PeerMessage message;
+  wire::ForwardFrames& frames = *message.mutable_forward_frames();
+  frames.set_session(aSession.request_.session());
+  frames.set_request(aSession.request_.request());
+  frames.set_sequence(aSession.nextPiece_++);
+  frames.set_frames(std::move(aFrames));
+  (void)port_.SendForward(std::get<0>(aSession.key_), std::move(message));
+}
+
+void
+OwnerGroup::AnswerProbe(GroupConnection& aConnection,
+                        std::optional<wire::TargetReport> aReport)
+{
+  const auto found = probes_.find(aConnection.Target());
+  if (found == probes_.end() ||
+      found->second.connection_.get() != &aConnection) {
+    return;
+  }
+  const bool reachable = aReport.has_value();
+  const bool changed = reachable != found->second.reachable_;
+  found->second.reachable_ = reachable;
+  NoteAnswer(found->second.ends_,
+             settings_.group_,
+             aConnection.Target(),
+             aConnection.Error());
+  Feed(core_traffic::ProbeAnswered{ aConnection.Target(),
+                                    found->second.sequence_,
+                                    std::move(aReport),
+                                    aConnection.Backend() });
+  if (changed) {
+    listener_.OnReachabilityChanged(settings_.group_);
+  }
+}
+
+const target::Dialect&
+OwnerGroup::DialectOf(const foundation::TargetName& aTarget) const
+{
+  const wire::TargetState* const target =
+    core::configuration::FindTarget(group_, aTarget);
+  return settings_.protocols_.targets_->dialect_(
+    target == nullptr ? "" : target->dialect());
+}
+
+} // namespace wigeonlb::daemon::traffic
--- a/packages/core/failover/failover.cpp
+++ b/packages/core/failover/failover.cpp
@@ -1,11 +1,11 @@
 #include "core/failover/failover.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "core/failover/internal/calm.h"
 #include "core/failover/internal/countedtargets.h"
+#include "core/failover/internal/grantees.h"
 #include "core/failover/internal/groupcontext.h"
 #include "core/failover/internal/groupowners.h"
 #include "core/failover/internal/plannedchange.h"
@@ -166,49 +166,6 @@
   return groups;
 }
 
-//! The record of possible holders is committed before one of them gets its
-//! first grant, so that the next leader knows whom to hear.
-void
-ProposeGrantees(FailoverState& aState,
-                const wire::GroupState& aGroup,
-                const foundation::HostId& aHost,
-                Instant aNow,
-                Actions& aActions)
-{
-  auto& proposedAt = aState.groups_[aGroup.group()].granteesProposedAt_;
-  if (proposedAt && aNow - *proposedAt < kRetryMs) {
-    return;
-  }
-  proposedAt = aNow;
-  const auto possible = grants::PossibleHolders(aState.grants_, aGroup, aNow);
-  std::set<foundation::HostId> hosts(possible.begin(), possible.end());
-  hosts.insert(aHost);
-  for (const auto& owner : aState.owners_.at(aGroup.group()).owners_) {
-    hosts.insert(owner);
-  }
-  wire::ControlRecord record;
-  record.mutable_grantees()->set_group(aGroup.group());
-  for (const auto& host : hosts) {
-    record.mutable_grantees()->add_hosts(host);
-  }
-  aActions.push_back(Propose{ std::move(record) });
-}
-
-//! NOTE Only for groups that need no majority: where it is needed, the owners
-//! of a new leader come by their first grants as before.
-bool
-RecordsGrantees(const FailoverState& aState, const wire::GroupState& aGroup)
-{
-  return aState.guards_.recordsGrantees_ &&
-         AcknowledgementOf(aGroup) != Acknowledgement::Majority;
-}
-
-bool
-IsGrantee(const wire::GroupState& aGroup, const foundation::HostId& aHost)
-{
-  return std::ranges::find(aGroup.grantees(), aHost) != aGroup.grantees().end();
-}
-
 void
 AddGrants(FailoverState& aState,
           const wire::ControlState& aControl,
--- a/packages/core/failover/internal/countedtargets.cpp
+++ b/packages/core/failover/internal/countedtargets.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/failover/internal/withoutmajority.h"
 #include "core/positions/positions.h"
 
 namespace wigeonlb::core::failover {
@@ -29,18 +30,6 @@
   return state;
 }
 
-void
-ProposeAdmission(GroupContext& aContext,
-                 wire::TargetState aTarget,
-                 const std::string& aReason)
-{
-  const auto name = aTarget.target();
-  wire::ControlRecord record;
-  record.mutable_admit()->set_group(aContext.group_.group());
-  *record.mutable_admit()->mutable_target() = std::move(aTarget);
-  ProposeRecord(aContext, std::move(record), "admit " + name + ": " + aReason);
-}
-
 void
 ProposeExpulsion(GroupContext& aContext,
                  const std::string& aTarget,
@@ -126,128 +115,6 @@
                                    : std::vector<const wire::TargetReport*>{};
 }
 
-void
-ProposeFirst(GroupContext& aContext,
-             const wire::TargetReport& aReport,
-             bool aIsPrimary)
-{
-  const auto& group = aContext.group_;
-  // A term that exists already is taken over from its beginning.
-  const auto term = aIsPrimary
-                      ? std::max<std::uint64_t>(aReport.adopted_term(), 1)
-                      : aReport.adopted_term() + 1;
-  const auto start = aIsPrimary ? 0 : aReport.synced_offset();
-  const auto reason = std::string(aIsPrimary ? "adopt " : "promote ") +
-                      aReport.target() + " as first primary";
-  wire::ControlRecord choice;
-  auto* choose = choice.mutable_choose();
-  choose->set_group(group.group());
-  choose->set_term(term);
-  choose->set_target(aReport.target());
-  choose->set_start_offset(start);
-  choose->set_reason(reason);
-  ProposeRecord(aContext, std::move(choice), reason);
-  if (!aIsPrimary || aReport.adopted_term() == 0) {
-    return;
-  }
-  wire::ControlRecord confirmation;
-  auto* confirm = confirmation.mutable_confirm();
-  confirm->set_group(group.group());
-  confirm->set_term(term);
-  confirm->set_target(aReport.target());
-  confirm->set_start_offset(start);
-  ProposeRecord(aContext, std::move(confirmation), "confirm " + reason);
-}
-
-//! A group that needs no majority has no size to wait for: the target that
-//! leads is adopted, once each one was read or is found unreachable.
-void
-AdoptLeader(GroupContext& aContext)
-{
-  const wire::TargetReport* leader = nullptr;
-  bool whole = !aContext.group_.targets().empty();
-  for (const auto& target : aContext.group_.targets()) {
-    OrderRead(aContext, target, kPollMs);
-    const auto* report =
-      OwnReport(aContext, target.target(), aContext.now_ - 4 * kPollMs);
-    const auto& read = aContext.progress_.reads_[target.target()];
-    whole &= report != nullptr ||
-             (read.failingSince_ &&
-              aContext.now_ - *read.failingSince_ >= kLoneSuspicionMs);
-    const bool leads = report != nullptr && report->primary();
-    if (leads && (leader == nullptr ||
-                  report->adopted_term() > leader->adopted_term())) {
-      leader = report;
-    }
-  }
-  if (!whole || leader == nullptr) {
-    Wait(aContext, "waits to read all targets before the first primary");
-    return;
-  }
-  ProposeFirst(aContext, *leader, true);
-}
-
-//! A target that leaves is kept off new work by the replicated state, so that a
-//! new leader knows of it, too.
-bool
-NoteLeaving(GroupContext& aContext)
-{
-  for (const auto& target : aContext.group_.targets()) {
-    const auto* entry = membership::FindTarget(
-      aContext.state_.membership_, aContext.group_.group(), target.target());
-    if (target.leaving() || entry == nullptr || !entry->leaving_ ||
-        entry->incarnation_ != target.incarnation()) {
-      continue;
-    }
-    auto state = target;
-    state.set_leaving(true);
-    ProposeAdmission(aContext, std::move(state), "it leaves");
-    return true;
-  }
-  return false;
-}
-
-//! True for a target that said that it ends, or was neither heard nor reached
-//! for long.
-bool
-IsGone(const GroupContext& aContext, const wire::TargetState& aTarget)
-{
-  const auto* entry = membership::FindTarget(
-    aContext.state_.membership_, aContext.group_.group(), aTarget.target());
-  const bool leads = aContext.now_ - aContext.state_.leadingSince_ >= kGoneMs;
-  if (entry == nullptr) {
-    return leads;
-  }
-  if (entry->announcement_ && entry->announcement_->gone() &&
-      entry->incarnation_ == aTarget.incarnation()) {
-    return true;
-  }
-  return leads && aContext.now_ - entry->announcedAt_ >= kGoneMs &&
-         !membership::TakesNewWork(aContext.state_.membership_,
-                                   aContext.group_.group(),
-                                   aTarget.target(),
-                                   aContext.now_);
-}
-
-void
-ForgetOneGone(GroupContext& aContext)
-{
-  for (const auto& target : aContext.group_.targets()) {
-    if (target.target() == aContext.group_.primary() ||
-        !IsGone(aContext, target)) {
-      continue;
-    }
-    wire::ControlRecord record;
-    record.mutable_expel()->set_group(aContext.group_.group());
-    record.mutable_expel()->set_target(target.target());
-    record.mutable_expel()->set_reason("it is gone");
-    record.mutable_expel()->set_gone(true);
-    ProposeRecord(
-      aContext, std::move(record), "forget " + target.target() + ": gone");
-    return;
-  }
-}
-
 //! True when every holder of a grant knows the counted targets in force.
 bool
 InForceAtHolders(const GroupContext& aContext)
@@ -467,6 +334,51 @@
 
 } // namespace
 
+void
+ProposeAdmission(GroupContext& aContext,
+                 wire::TargetState aTarget,
+                 const std::string& aReason)
+{
+  const auto name = aTarget.target();
+  wire::ControlRecord record;
+  record.mutable_admit()->set_group(aContext.group_.group());
+  *record.mutable_admit()->mutable_target() = std::move(aTarget);
+  ProposeRecord(aContext, std::move(record), "admit " + name + ": " + aReason);
+}
+
+void
+ProposeFirst(GroupContext& aContext,
+             const wire::TargetReport& aReport,
+             bool aIsPrimary)
+{
+  const auto& group = aContext.group_;
+  // A term that exists already is taken over from its beginning.
+  const auto term = aIsPrimary
+                      ? std::max<std::uint64_t>(aReport.adopted_term(), 1)
+                      : aReport.adopted_term() + 1;
+  const auto start = aIsPrimary ? 0 : aReport.synced_offset();
+  const auto reason = std::string(aIsPrimary ? "adopt " : "promote ") +
+                      aReport.target() + " as first primary";
+  wire::ControlRecord choice;
+  auto* choose = choice.mutable_choose();
+  choose->set_group(group.group());
+  choose->set_term(term);
+  choose->set_target(aReport.target());
+  choose->set_start_offset(start);
+  choose->set_reason(reason);
+  ProposeRecord(aContext, std::move(choice), reason);
+  if (!aIsPrimary || aReport.adopted_term() == 0) {
+    return;
+  }
+  wire::ControlRecord confirmation;
+  auto* confirm = confirmation.mutable_confirm();
+  confirm->set_group(group.group());
+  confirm->set_term(term);
+  confirm->set_target(aReport.target());
+  confirm->set_start_offset(start);
+  ProposeRecord(aContext, std::move(confirmation), "confirm " + reason);
+}
+
 bool
 SameAnnounced(const wire::TargetState& aState,
               const wire::Announcement& aAnnouncement)
--- a/packages/core/failover/internal/countedtargets.h
+++ b/packages/core/failover/internal/countedtargets.h
@@ -22,4 +22,15 @@
 void
 StepCountedTargets(GroupContext& aContext);
 
+void
+ProposeAdmission(GroupContext& aContext,
+                 wire::TargetState aTarget,
+                 const std::string& aReason);
+
+//! Proposes the group's first primary: one that leads already is adopted.
+void
+ProposeFirst(GroupContext& aContext,
+             const wire::TargetReport& aReport,
+             bool aIsPrimary);
+
 } // namespace wigeonlb::core::failover
--- /dev/null
+++ b/packages/core/failover/internal/withoutmajority.cpp
@@ -0,0 +1,98 @@
+#include "core/failover/internal/withoutmajority.h"
+
+#include <utility>
+
+#include "core/failover/internal/countedtargets.h"
+
+namespace wigeonlb::core::failover {
+
+void
+AdoptLeader(GroupContext& aContext)
+{
+  const wire::TargetReport* leader = nullptr;
+  bool whole = !aContext.group_.targets().empty();
+  for (const auto& target : aContext.group_.targets()) {
+    OrderRead(aContext, target, kPollMs);
+    const auto* report =
+      OwnReport(aContext, target.target(), aContext.now_ - 4 * kPollMs);
+    const auto& read = aContext.progress_.reads_[target.target()];
+    whole &= report != nullptr ||
+             (read.failingSince_ &&
+              aContext.now_ - *read.failingSince_ >= kLoneSuspicionMs);
+    const bool leads = report != nullptr && report->primary();
+    if (leads && (leader == nullptr ||
+                  report->adopted_term() > leader->adopted_term())) {
+      leader = report;
+    }
+  }
+  if (!whole || leader == nullptr) {
+    Wait(aContext, "waits to read all targets before the first primary");
+    return;
+  }
+  ProposeFirst(aContext, *leader, true);
+}
+
+bool
+NoteLeaving(GroupContext& aContext)
+{
+  for (const auto& target : aContext.group_.targets()) {
+    const auto* entry = membership::FindTarget(
+      aContext.state_.membership_, aContext.group_.group(), target.target());
+    if (target.leaving() || entry == nullptr || !entry->leaving_ ||
+        entry->incarnation_ != target.incarnation()) {
+      continue;
+    }
+    auto state = target;
+    state.set_leaving(true);
+    ProposeAdmission(aContext, std::move(state), "it leaves");
+    return true;
+  }
+  return false;
+}
+
+namespace {
+
+//! True for a target that said that it ends, or was neither heard nor reached
+//! for long.
+bool
+IsGone(const GroupContext& aContext, const wire::TargetState& aTarget)
+{
+  const auto* entry = membership::FindTarget(
+    aContext.state_.membership_, aContext.group_.group(), aTarget.target());
+  const bool leads = aContext.now_ - aContext.state_.leadingSince_ >= kGoneMs;
+  if (entry == nullptr) {
+    return leads;
+  }
+  if (entry->announcement_ && entry->announcement_->gone() &&
+      entry->incarnation_ == aTarget.incarnation()) {
+    return true;
+  }
+  return leads && aContext.now_ - entry->announcedAt_ >= kGoneMs &&
+         !membership::TakesNewWork(aContext.state_.membership_,
+                                   aContext.group_.group(),
+                                   aTarget.target(),
+                                   aContext.now_);
+}
+
+} // namespace
+
+void
+ForgetOneGone(GroupContext& aContext)
+{
+  for (const auto& target : aContext.group_.targets()) {
+    if (target.target() == aContext.group_.primary() ||
+        !IsGone(aContext, target)) {
+      continue;
+    }
+    wire::ControlRecord record;
+    record.mutable_expel()->set_group(aContext.group_.group());
+    record.mutable_expel()->set_target(target.target());
+    record.mutable_expel()->set_reason("it is gone");
+    record.mutable_expel()->set_gone(true);
+    ProposeRecord(
+      aContext, std::move(record), "forget " + target.target() + ": gone");
+    return;
+  }
+}
+
+} // namespace wigeonlb::core::failover
--- a/packages/core/traffic/internal/floors.cpp
+++ b/packages/core/traffic/internal/floors.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/traffic/internal/acknowledgement.h"
 #include "core/traffic/internal/targets.h"
 
 namespace wigeonlb::core::traffic::internal {
@@ -41,6 +42,21 @@
   return writer;
 }
 
+// An answer tells as much as a status of what the target was: the report stays
+// fresh without one.
+void
+NoteHeard(Context& aContext, Target& aTarget, const LogPosition& aPosition)
+{
+  if (!aTarget.report_ || aTarget.probe_.failed_) {
+    return;
+  }
+  auto& report = *aTarget.report_;
+  report.set_applied_offset(aPosition.offset_);
+  report.set_synced_offset(
+    std::max<std::uint64_t>(report.synced_offset(), aPosition.offset_));
+  aTarget.reportAt_ = aContext.now_;
+}
+
 } // namespace
 
 std::optional<LogPosition>
@@ -98,4 +114,25 @@
            aPosition.offset_ };
 }
 
+void
+TakePosition(Context& aContext,
+             const Connection& aConnection,
+             const Request& aRequest,
+             const StatementFinished& aEvent)
+{
+  Group& group = aContext.group_;
+  if (!aEvent.position_) {
+    return;
+  }
+  Target& target = *aConnection.target_;
+  NoteHeard(aContext, target, *aEvent.position_);
+  if (aRequest.term_ != 0) {
+    const LogPosition position = InGrantTerm(group, *aEvent.position_);
+    RaisePrimary(aContext, target, position, aConnection.since_);
+    return;
+  }
+  routing::Advance(
+    target.applied_, group.samples_, *aEvent.position_, aContext.now_);
+}
+
 } // namespace wigeonlb::core::traffic::internal
--- a/packages/core/traffic/internal/floors.h
+++ b/packages/core/traffic/internal/floors.h
@@ -28,4 +28,11 @@
 LogPosition
 InGrantTerm(const Group& aGroup, const LogPosition& aPosition);
 
+//! Takes in where the target's log ends, as its answer told.
+void
+TakePosition(Context& aContext,
+             const Connection& aConnection,
+             const Request& aRequest,
+             const StatementFinished& aEvent);
+
 } // namespace wigeonlb::core::traffic::internal
