Only a host behind a balancer sends its callers away when it is cut off; loads end with their system

Seen in a whole run: process_data_centre_cut_off (health 503 inside a data centre that is cut off), and right after it process_one_way_all_to_leader (33 writes doubled, 6 refused ones present).

First: the watch for isolation made every cut-off host not ready and closed its sessions. Where no balancer moves callers, they lose the reads that INVARIANTS.md promises inside. It now needs balancer-notice-ms, which says that there is a balancer; the check in the test stays as it was.

Second: the failed test left its load running for 3 s more. The next test takes the same ports and the same seed, so that load wrote the same ids into the next system. Ruled out: a broken promise of the proxy: eight runs of the second test by itself on the same build, six of them three at a time, none doubled; times and ports of the two logs overlap. Loads now end with the system that they are given.

Before: both fail in that order. After: both pass, and the other tests with a cut one way or of a region.

--- a/apps/wigeonlbd/control/controlpeers.cpp
+++ b/apps/wigeonlbd/control/controlpeers.cpp
@@ -103,7 +103,9 @@
 void
 ControlRuntime::WatchIsolation()
 {
-  if (!settings::TakesCallers(settings_)) {
+  //! NOTE Without a balancer nobody sends the callers elsewhere: they are
+  //! better served here, with the reads that are still young enough.
+  if (!settings::TakesCallers(settings_) || !settings::HasBalancer(settings_)) {
     return;
   }
   std::vector<foundation::HostId> others;
--- a/apps/wigeonlbd/settings/daemonsettings.cpp
+++ b/apps/wigeonlbd/settings/daemonsettings.cpp
@@ -373,8 +373,10 @@
     "WIGEONLB_BALANCER_NOTICE_MS",
     "0",
     "ms",
-    "after a stop signal new callers are taken for this long, until the "
-    "balancer has noticed",
+    "time in which a balancer notices that this host isn't ready: after a stop "
+    "signal new callers are taken for that long; 0: there is no balancer, and "
+    "a "
+    "host that is cut off keeps its callers",
     ReadMilliseconds<&S::balancerNotice_, 0, 60'000> },
   { "promotion-address",
     "WIGEONLB_PROMOTION_ADDRESS",
--- a/apps/wigeonlbd/settings/daemonsettings.h
+++ b/apps/wigeonlbd/settings/daemonsettings.h
@@ -110,6 +110,13 @@
   return !aSettings.callerAddress_.ip_.empty();
 }
 
+//! True when a balancer sends callers only to hosts that are ready.
+inline bool
+HasBalancer(const DaemonSettings& aSettings)
+{
+  return aSettings.balancerNotice_ > foundation::Duration::zero();
+}
+
 //! True when the host has a disk and may become a control member later.
 inline bool
 MayJoin(const DaemonSettings& aSettings)
--- a/testing/harness/process_tests.py
+++ b/testing/harness/process_tests.py
@@ -41,6 +41,7 @@
              "--seed", str(seed), *extra],
             stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
         )
+        system.loads.append(self.handle)
 
     def finish_quietly(self):
         """Waits for the end; returns the figures by name."""
--- a/testing/harness/system.py
+++ b/testing/harness/system.py
@@ -343,6 +343,7 @@
         self.relay = Relay(self.folder) if relayed else None
         self.hosts = {}
         self.targets = []
+        self.loads = []  #: processes that are ended with the system
         self.host_flags = list(host_flags)
         self.records_traces = False
 
@@ -350,6 +351,12 @@
         return self
 
     def __exit__(self, kind, value, trace):
+        # A load that a failed test left would write into the next test's system,
+        # which takes the same ports.
+        for each in self.loads:
+            if each.poll() is None:
+                each.kill()
+                each.wait()
         self.close()
         if kind is None:
             shutil.rmtree(self.folder, ignore_errors=True)
