After a restart of all members a leader is elected, found, and grants sooner

Cause: after a power loss the leader was elected 0.45 s after a majority was up, and grants came 0.13 to 0.4 s after it. The first pre-vote was drawn between 300 and 550 ms after the start, although a vote may be given from 300 ms on; one that came a moment too early waited for a whole election timeout. Hosts that had asked a member without a leader came back after their 250 ms, and owners whose grant waited for the other hosts' heartbeats once more after 250 ms.

Now: pre-votes are repeated every 60 to 120 ms (they raise no term and end no lease), the first one as soon as a vote may be given; a member names the leader at once to those that asked while there was none; a reply says that grants are pending, and the owner asks again after 60 ms, only where the hosts that may hold grants are on record. A lost opening packet is sent again after 300 ms.

--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -98,6 +98,7 @@
     { { "host", self_ }, { "term", std::to_string(term) } });
   if (leading) {
     Feed(failover::BecameLeader{ term });
+    AnswerWaiters();
   } else {
     Feed(failover::LostLeadership{});
   }
@@ -112,7 +113,13 @@
   const foundation::Instant received = SteadyNow();
   if (!leading_ || !member_.HoldsLease()) {
     if (!aHeartbeat.relay() || !Relay(aHeartbeat)) {
-      AnswerAsFollower(aHeartbeat);
+      AnswerAsFollower({ aHeartbeat.sender().host(),
+                         aHeartbeat.sequence(),
+                         aHeartbeat.sent_at_us(),
+                         received });
+    }
+    if (KnownLeader().empty()) {
+      core::grants::NoteWaiter(waiters_, aHeartbeat, received);
     }
     return;
   }
@@ -152,19 +159,38 @@
   port_.SendControl(relay->second, std::move(aMessage));
 }
 
+//! A host that leads but could not decide yet names no leader.
+foundation::HostId
+LeaderDriver::KnownLeader() const
+{
+  const bool decides = leading_ && member_.HoldsLease();
+  return leaderHint_ != self_ || decides ? leaderHint_ : foundation::HostId();
+}
+
 void
-LeaderDriver::AnswerAsFollower(const wire::Heartbeat& aHeartbeat)
+LeaderDriver::AnswerAsFollower(const core::grants::LeaderWaiter& aWaiter)
 {
   wire::PeerMessage message;
   wire::HeartbeatReply& reply = *message.mutable_heartbeat_reply();
-  reply.set_sequence(aHeartbeat.sequence());
-  reply.set_sent_at_us(aHeartbeat.sent_at_us());
-  AddConfiguration(aHeartbeat.sender().host(), reply);
-  AddMembers(aHeartbeat.sender().host(), reply);
+  reply.set_sequence(aWaiter.sequence_);
+  reply.set_sent_at_us(aWaiter.sentAtUs_);
+  AddConfiguration(aWaiter.host_, reply);
+  AddMembers(aWaiter.host_, reply);
   reply.set_from(self_);
   reply.set_leader(false);
-  reply.set_leader_hint(leaderHint_ == self_ ? "" : leaderHint_);
-  port_.SendControl(aHeartbeat.sender().host(), std::move(message));
+  reply.set_leader_hint(KnownLeader());
+  port_.SendControl(aWaiter.host_, std::move(message));
+}
+
+void
+LeaderDriver::AnswerWaiters()
+{
+  if (KnownLeader().empty()) {
+    return;
+  }
+  for (const auto& waiter : core::grants::TakeWaiters(waiters_, SteadyNow())) {
+    AnswerAsFollower(waiter);
+  }
 }
 
 void
@@ -233,6 +259,7 @@
   }
   leaderHint_ = aChange.leader_;
   UpdateLeading();
+  AnswerWaiters();
 }
 
 void
--- a/apps/wigeonlbd/control/leaderdriver.h
+++ b/apps/wigeonlbd/control/leaderdriver.h
@@ -12,6 +12,7 @@
 #include "control/peerport.h"
 #include "control/promotionport.h"
 #include "core/failover/failover.h"
+#include "core/grants/leaderwaiters.h"
 #include "target/dialect.h"
 #include "target/targetconnection.h"
 
@@ -76,7 +77,10 @@
   //! Passes a heartbeat on to the leader; false when none is known.
   bool Relay(const wire::Heartbeat& aHeartbeat);
   void SendReply(const foundation::HostId& aHost, wire::PeerMessage aMessage);
-  void AnswerAsFollower(const wire::Heartbeat& aHeartbeat);
+  foundation::HostId KnownLeader() const;
+  void AnswerAsFollower(const core::grants::LeaderWaiter& aWaiter);
+  //! Names the leader to the hosts that asked while none was known.
+  void AnswerWaiters();
   void AddConfiguration(const foundation::HostId& aHost,
                         wire::HeartbeatReply& aReply) const;
   const target::Dialect& DialectOf(std::string_view aGroup,
@@ -91,6 +95,7 @@
   PeerPort& port_;
   core::failover::FailoverState state_;
   foundation::HostId leaderHint_;
+  core::grants::LeaderWaiters waiters_;
   std::size_t wantedVoters_ = 0;
   foundation::Instant membersPlannedAt_;
   std::map<foundation::HostId, std::uint64_t> membersKnown_; //!< by index
--- a/packages/core/consensus/consensus.cpp
+++ b/packages/core/consensus/consensus.cpp
@@ -256,7 +256,7 @@
   // A vote now could break the lease of a leader that this host followed.
   state.lastLeaderContact_ = aNow;
   StepContext context{ state, aNow };
-  ResetElection(context);
+  DrawPreVote(context, aSettings.electionTimeoutMin_);
   return state;
 }
 
--- a/packages/core/consensus/consensus.h
+++ b/packages/core/consensus/consensus.h
@@ -39,6 +39,9 @@
   foundation::Duration heartbeatInterval_ = std::chrono::milliseconds(80);
   foundation::Duration electionTimeoutMin_ = std::chrono::milliseconds(300);
   foundation::Duration electionTimeoutMax_ = std::chrono::milliseconds(550);
+  //! Between two rounds of pre-votes, and the spread of the first of them after
+  //! a start; a few round trips. A pre-vote raises no term and ends no lease.
+  foundation::Duration preVoteInterval_ = std::chrono::milliseconds(60);
   //! Shorter than electionTimeoutMin_ by more than the clocks' drift.
   foundation::Duration leaseLength_ = std::chrono::milliseconds(250);
   std::size_t batchEntries_ = 64;
--- a/packages/core/consensus/internal/election.cpp
+++ b/packages/core/consensus/internal/election.cpp
@@ -135,7 +135,9 @@
 {
   aContext.state_.role_ = Role::PreCandidate;
   aContext.state_.leader_.clear();
-  ResetElection(aContext);
+  // Soon again: another voter may refuse now just because it has heard a leader
+  // a moment later than this one.
+  DrawPreVote(aContext, aContext.state_.settings_.preVoteInterval_);
   AskForVotes(aContext, true);
   CountVotes(aContext);
 }
--- a/packages/core/consensus/internal/stepcontext.cpp
+++ b/packages/core/consensus/internal/stepcontext.cpp
@@ -1,5 +1,7 @@
 #include "core/consensus/internal/stepcontext.h"
 
+#include <algorithm>
+
 namespace wigeonlb::core::consensus {
 
 namespace {
@@ -44,6 +46,18 @@
   state.tokens_.erase(token);
 }
 
+// Draws the time of the next election between aEarliest and aSpread later.
+void
+DrawElection(StepContext& aContext,
+             foundation::Duration aEarliest,
+             foundation::Duration aSpread)
+{
+  ConsensusState& state = aContext.state_;
+  const auto spread = std::max<foundation::Duration::rep>(aSpread.count(), 1);
+  const foundation::Duration extra(state.random_() % spread);
+  state.electionDue_ = aContext.now_ + aEarliest + extra;
+}
+
 } // namespace
 
 wire::ConsensusMessage
@@ -97,13 +111,16 @@
 void
 ResetElection(StepContext& aContext)
 {
-  ConsensusState& state = aContext.state_;
-  const auto spread =
-    state.settings_.electionTimeoutMax_ - state.settings_.electionTimeoutMin_;
-  const foundation::Duration extra(state.random_() %
-                                   (spread.count() > 0 ? spread.count() : 1));
-  state.electionDue_ =
-    aContext.now_ + state.settings_.electionTimeoutMin_ + extra;
+  const ConsensusSettings& settings = aContext.state_.settings_;
+  DrawElection(aContext,
+               settings.electionTimeoutMin_,
+               settings.electionTimeoutMax_ - settings.electionTimeoutMin_);
+}
+
+void
+DrawPreVote(StepContext& aContext, foundation::Duration aEarliest)
+{
+  DrawElection(aContext, aEarliest, aContext.state_.settings_.preVoteInterval_);
 }
 
 void
--- a/packages/core/consensus/internal/stepcontext.h
+++ b/packages/core/consensus/internal/stepcontext.h
@@ -40,6 +40,10 @@
 void
 ResetElection(StepContext& aContext);
 
+//! Draws the time of the next round of pre-votes, from aEarliest on.
+void
+DrawPreVote(StepContext& aContext, foundation::Duration aEarliest);
+
 //! Takes on a higher term, without a vote.
 void
 RaiseTerm(StepContext& aContext, std::uint64_t aTerm);
--- /dev/null
+++ b/packages/core/consensus/tests/election_tests.cpp
@@ -0,0 +1,69 @@
+#include <catch2/catch.hpp>
+
+#include "core/consensus/tests/virtualnetwork.h"
+
+namespace wigeonlb::core::consensus {
+
+using foundation::Duration;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Of one member, from the start of the one before it.
+struct Starts
+{
+  Duration second_;
+  Duration third_;
+};
+
+// From the start of the second member, with which a majority is up, until one
+// of them leads.
+Duration
+TimeToLeader(VirtualNetwork& aNetwork, const Starts& aStarts)
+{
+  for (const auto& [host, member] : aNetwork.members_) {
+    Crash(aNetwork, host);
+  }
+  Run(aNetwork, 1s);
+  Start(aNetwork, "a");
+  Run(aNetwork, aStarts.second_);
+  Start(aNetwork, "b");
+  const auto majorityAt = aNetwork.now_;
+  Run(aNetwork, aStarts.third_);
+  Start(aNetwork, "c");
+  while (Leader(aNetwork).empty() && aNetwork.now_ < majorityAt + 5s) {
+    Run(aNetwork, 10ms);
+  }
+  return aNetwork.now_ - majorityAt;
+}
+
+} // namespace
+
+TEST_CASE("members that all start again elect a leader soon",
+          "[consensus][election]")
+{
+  const auto starts = GENERATE(values<Starts>({
+    { 0ms, 0ms },
+    { 10ms, 20ms },
+    { 30ms, 110ms },
+    { 150ms, 150ms },
+    { 290ms, 10ms },
+  }));
+  // A voter keeps silent until a lease that it may have granted has ended; then
+  // a pre-vote, spread over its interval, one that comes too early before it,
+  // and the round trips of both elections.
+  const ConsensusSettings settings;
+  const Duration bound =
+    settings.electionTimeoutMin_ + 3 * settings.preVoteInterval_ + 120ms;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    VirtualNetwork network =
+      MakeNetwork({ .seed_ = seed, .lossPercent_ = 0, .duplicatePercent_ = 0 });
+    Run(network, 3s);
+    REQUIRE_FALSE(Leader(network).empty());
+    CAPTURE(seed);
+    CHECK(TimeToLeader(network, starts) <= bound);
+    CHECK(network.violations_.empty());
+  }
+}
+
+} // namespace wigeonlb::core::consensus
--- a/packages/core/failover/failover.cpp
+++ b/packages/core/failover/failover.cpp
@@ -185,6 +185,7 @@
     if (RecordsGrantees(aState, group->second) &&
         !IsGrantee(group->second, host)) {
       ProposeGrantees(aState, group->second, host, aNow, aActions);
+      aReply.set_grants_pending(true);
       continue;
     }
     auto grant = grants::IssueGrant(aState.grants_,
@@ -195,6 +196,8 @@
                                     aNow);
     if (grant) {
       *aReply.add_grants() = std::move(*grant);
+    } else if (grants::AwaitsHeartbeats(aState.grants_, group->second, aNow)) {
+      aReply.set_grants_pending(true);
     }
     if (!grants::WantsHolders(aState.grants_, aNow)) {
       auto holders =
--- a/packages/core/grants/granttable.cpp
+++ b/packages/core/grants/granttable.cpp
@@ -266,6 +266,15 @@
          });
 }
 
+bool
+AwaitsHeartbeats(const GrantTable& aTable,
+                 const wire::GroupState& aGroup,
+                 Instant aNow)
+{
+  return !aGroup.grantees().empty() && !KnowsHolders(aTable, aGroup) &&
+         MayRunFromEarlierLeader(aTable, aGroup.group(), aNow);
+}
+
 std::vector<foundation::HostId>
 PossibleHolders(const GrantTable& aTable,
                 const wire::GroupState& aGroup,
--- a/packages/core/grants/granttable.h
+++ b/packages/core/grants/granttable.h
@@ -86,6 +86,14 @@
 bool
 KnowsHolders(const GrantTable& aTable, const wire::GroupState& aGroup);
 
+//! True while new grants wait for the heartbeats of hosts that an earlier
+//! leader may have given one. Without a record of these hosts the wait is for
+//! the end of the lease, and no heartbeat shortens it.
+bool
+AwaitsHeartbeats(const GrantTable& aTable,
+                 const wire::GroupState& aGroup,
+                 foundation::Instant aNow);
+
 //! The hosts that may hold grants of the group: those of its record that this
 //! leader hasn't found without one.
 std::vector<foundation::HostId>
--- a/packages/core/grants/holder.cpp
+++ b/packages/core/grants/holder.cpp
@@ -84,6 +84,9 @@
     TakeGrant(aState, grant, aReply.sent_at_us(), aNow, aActions);
   }
   DropLeftOut(aState, aReply, aNow, aActions);
+  if (aReply.grants_pending()) {
+    AskWithin(aState, kPendingIntervalMs);
+  }
 }
 
 void
--- a/packages/core/grants/holder.h
+++ b/packages/core/grants/holder.h
@@ -38,6 +38,11 @@
 constexpr foundation::Duration kHintDistrustMs =
   std::chrono::milliseconds(1000);
 
+//! Interval of an owner whose grant waits for the other hosts' heartbeats to a
+//! new leader, or for its log: a few round trips.
+constexpr foundation::Duration kPendingIntervalMs =
+  std::chrono::milliseconds(60);
+
 //! Pause before a follower with such a hint is asked again.
 constexpr foundation::Duration kHintRetryMs = std::chrono::milliseconds(100);
 
--- a/packages/core/grants/internal/holdercontact.cpp
+++ b/packages/core/grants/internal/holdercontact.cpp
@@ -102,9 +102,15 @@
 
 void
 Hurry(HolderState& aState)
+{
+  AskWithin(aState, kUrgentIntervalMs);
+}
+
+void
+AskWithin(HolderState& aState, Duration aInterval)
 {
   aState.nextHeartbeat_ =
-    std::min(aState.nextHeartbeat_, aState.lastSent_ + kUrgentIntervalMs);
+    std::min(aState.nextHeartbeat_, aState.lastSent_ + aInterval);
 }
 
 void
@@ -156,12 +162,11 @@
       aNow < aState.silentUntil_) {
     // The member reaches a leader that this host doesn't.
     aState.relayUntil_ = aState.silentUntil_;
-    aState.nextHeartbeat_ =
-      std::min(aState.nextHeartbeat_, aState.lastSent_ + kHintRetryMs);
+    AskWithin(aState, kHintRetryMs);
     return;
   }
-  if (index != aState.followed_) {
-    aState.followed_ = index;
+  aState.followed_ = index;
+  if (!aReply.leader()) {
     Hurry(aState);
   }
 }
--- a/packages/core/grants/internal/holdercontact.h
+++ b/packages/core/grants/internal/holdercontact.h
@@ -12,6 +12,10 @@
 void
 Hurry(HolderState& aState);
 
+//! Asks for a heartbeat within aInterval of the last one.
+void
+AskWithin(HolderState& aState, foundation::Duration aInterval);
+
 //! Turns to the next member when the followed one stays silent. Each further
 //! one waits longer, so that hosts don't storm the members that are left.
 void
--- /dev/null
+++ b/packages/core/grants/leaderwaiters.cpp
@@ -0,0 +1,30 @@
+#include "core/grants/leaderwaiters.h"
+
+#include <utility>
+
+namespace wigeonlb::core::grants {
+
+void
+NoteWaiter(LeaderWaiters& aWaiters,
+           const wire::Heartbeat& aHeartbeat,
+           foundation::Instant aNow)
+{
+  const auto& host = aHeartbeat.sender().host();
+  aWaiters.byHost_[host] = {
+    host, aHeartbeat.sequence(), aHeartbeat.sent_at_us(), aNow
+  };
+}
+
+std::vector<LeaderWaiter>
+TakeWaiters(LeaderWaiters& aWaiters, foundation::Instant aNow)
+{
+  std::vector<LeaderWaiter> taken;
+  for (auto& [host, waiter] : std::exchange(aWaiters.byHost_, {})) {
+    if (aNow - waiter.receivedAt_ <= kLeaderWaitMs) {
+      taken.push_back(std::move(waiter));
+    }
+  }
+  return taken;
+}
+
+} // namespace wigeonlb::core::grants
--- a/packages/core/grants/tests/grants_tests.cpp
+++ b/packages/core/grants/tests/grants_tests.cpp
@@ -101,6 +101,34 @@
   CHECK(issue(MakeHeartbeat("h", 3, 2, 7), kStart + WithDrift(kLeaseMs)) == 14);
 }
 
+TEST_CASE("new grants await the hosts that may hold old ones", "[grants]")
+{
+  struct Row
+  {
+    std::vector<std::string> grantees_;
+    std::vector<std::string> heard_;
+    Duration later_;
+    bool awaits_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { { "h", "k" }, {}, Duration(0), true },
+    { { "h", "k" }, { "h" }, Duration(0), true },
+    { { "h", "k" }, { "h", "k" }, Duration(0), false },
+    { { "h", "k" }, { "h" }, WithDrift(kLeaseMs), false },
+    { {}, { "h" }, Duration(0), false },
+  }));
+  GrantTable table;
+  StartLeading(table, kStart);
+  auto group = MakeGroup(1);
+  for (const auto& host : row.grantees_) {
+    group.add_grantees(host);
+  }
+  for (const auto& host : row.heard_) {
+    TakeHeartbeat(table, MakeHeartbeat(host, 1), kStart);
+  }
+  CHECK(AwaitsHeartbeats(table, group, kStart + row.later_) == row.awaits_);
+}
+
 TEST_CASE("a new leader knows the longest lease that may run", "[grants]")
 {
   GrantTable table;
--- a/packages/core/grants/tests/holder_tests.cpp
+++ b/packages/core/grants/tests/holder_tests.cpp
@@ -277,6 +277,49 @@
   CHECK(asked.size() == 3);
 }
 
+TEST_CASE("a leader that was just elected is asked at once", "[holder]")
+{
+  struct Row
+  {
+    std::string hint_;
+    std::string askedNext_;
+  };
+  // The followed member knew of no leader; later it names one.
+  const auto row = GENERATE(values<Row>({ { "m0", "m0" }, { "m1", "m1" } }));
+  Fixture holder;
+  holder.Feed(Tick{}, kHeartbeatIntervalMs);
+  const auto sent = holder.Actions<SendHeartbeat>();
+  REQUIRE(sent.size() == 1);
+  wire::HeartbeatReply reply;
+  reply.set_from(sent[0].member_);
+  reply.set_sequence(sent[0].heartbeat_.sequence());
+  holder.Feed(ReplyReceived{ reply });
+  CHECK(holder.Actions<SendHeartbeat>().empty());
+  reply.set_leader_hint(row.hint_);
+  holder.Feed(ReplyReceived{ reply }, kUrgentIntervalMs);
+  const auto next = holder.Actions<SendHeartbeat>();
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].member_ == row.askedNext_);
+}
+
+TEST_CASE("a holder whose grant is pending asks again soon", "[holder]")
+{
+  struct Row
+  {
+    bool pending_;
+    Duration asksAfter_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { false, kHeartbeatIntervalMs },
+    { true, kPendingIntervalMs },
+  }));
+  Fixture holder;
+  wire::HeartbeatReply reply = holder.Ask(0);
+  reply.set_grants_pending(row.pending_);
+  holder.Feed(ReplyReceived{ reply });
+  CHECK(NextDue(holder.state_) == holder.now_ + row.asksAfter_);
+}
+
 TEST_CASE("heartbeats are relayed to a leader that is out of reach", "[holder]")
 {
   // m1 leads, but only m0 and m2 can be reached; they name it.
--- /dev/null
+++ b/packages/core/grants/tests/leaderwaiters_tests.cpp
@@ -0,0 +1,53 @@
+#include <catch2/catch.hpp>
+
+#include "core/grants/leaderwaiters.h"
+
+namespace wigeonlb::core::grants {
+
+using foundation::Duration;
+using foundation::Instant;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr Instant kStart{ std::chrono::seconds(1000) };
+
+wire::Heartbeat
+HeartbeatOf(const std::string& aHost, std::uint64_t aSequence)
+{
+  wire::Heartbeat heartbeat;
+  heartbeat.mutable_sender()->set_host(aHost);
+  heartbeat.set_sequence(aSequence);
+  heartbeat.set_sent_at_us(aSequence * 1000);
+  return heartbeat;
+}
+
+} // namespace
+
+TEST_CASE("hosts that wait for a leader are told once", "[leaderwaiters]")
+{
+  struct Row
+  {
+    Duration later_;
+    std::size_t told_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { milliseconds(0), 2 },
+    { kLeaderWaitMs, 2 },
+    { kLeaderWaitMs + milliseconds(1), 1 },
+    { 2 * kLeaderWaitMs, 0 },
+  }));
+  LeaderWaiters waiters;
+  NoteWaiter(waiters, HeartbeatOf("a", 1), kStart - milliseconds(200));
+  NoteWaiter(waiters, HeartbeatOf("a", 2), kStart);
+  NoteWaiter(waiters, HeartbeatOf("b", 7), kStart + milliseconds(100));
+  const auto told = TakeWaiters(waiters, kStart + row.later_);
+  REQUIRE(told.size() == row.told_);
+  for (const auto& waiter : told) {
+    CHECK(waiter.sequence_ == (waiter.host_ == "a" ? 2 : 7));
+    CHECK(waiter.sentAtUs_ == waiter.sequence_ * 1000);
+  }
+  CHECK(TakeWaiters(waiters, kStart).empty());
+}
+
+} // namespace wigeonlb::core::grants
--- a/packages/peer/internal/link.cpp
+++ b/packages/peer/internal/link.cpp
@@ -11,9 +11,9 @@
 constexpr int kHeldBackLimitMs = 1500;
 
 constexpr int kSocketQueueMessages = 256;
-constexpr int kConnectTimeoutMs = 1500;
+constexpr int kConnectTimeoutMs = 300;
 constexpr int kReconnectMinMs = 50;
-constexpr int kReconnectMaxMs = 1000;
+constexpr int kReconnectMaxMs = 250;
 constexpr std::size_t kMaxDelayedChunks = 16;
 constexpr std::size_t kMessagesPerFlush = 1000;
 
