A cut-off host's callers are moved in time: faster detection, and only once the balancer has noticed

Cause: in a data centre that was cut off for 5.5 s nothing was served until the end of the cut. Peers counted as lost after 1.5 to 2 s, the host as cut off after 2.3; then it closed its idle sessions once and at once, while the balancer still sent new ones to the hosts of the same data centre: those that came back stayed.

Now: a peer is lost after 0.8 s (pings every 200 ms, pongs wait at most 200 ms for a message; a touched idle link is pinged at once), a host is cut off 1.4 s after the leader's last word, refuses probes from the suspicion on (for less than the second between two probes if it was none), and sends its callers away when the balancer was refused twice (setting balancer-refusals) or its longest time is over, and again each second. A stop ends its wait for the balancer the same way.

--- a/apps/wigeonlbd/control/controlpeers.cpp
+++ b/apps/wigeonlbd/control/controlpeers.cpp
@@ -123,16 +123,38 @@
     isolation_,
     [this](const foundation::HostId& aHost) { return IsLost(aHost); },
     lastTick_);
-  if (!changed) {
-    return;
+  if (changed) {
+    foundation::LogChange(
+      "control",
+      isolation_.cutOff_ ? "cut-off" : "cut-off-ended",
+      { { "tried", std::to_string(isolation_.tried_.size()) } });
   }
-  foundation::LogChange(
-    "control",
-    isolation_.cutOff_ ? "cut-off" : "cut-off-ended",
-    { { "tried", std::to_string(isolation_.tried_.size()) } });
-  if (isolation_.cutOff_) {
+  const bool noticed = BalancerHasNoticed(isolation_.cutOffSince_);
+  if (core::membership::SendsCallersAway(isolation_, noticed, lastTick_)) {
+    foundation::LogChange(
+      "control",
+      "callers-sent-away",
+      { { "sessions", std::to_string(traffic_.SessionCount()) } });
     traffic_.SendCallersAway();
   }
 }
 
+void
+ControlRuntime::NoteProbe(bool aServing)
+{
+  const std::lock_guard lock(balancerMutex_);
+  core::membership::NoteProbe(balancer_, aServing, foundation::SteadyNow());
+}
+
+bool
+ControlRuntime::BalancerHasNoticed(foundation::Instant aSince) const
+{
+  const std::lock_guard lock(balancerMutex_);
+  return core::membership::HasNoticed(
+    balancer_,
+    { settings_.balancerRefusals_, settings_.balancerNotice_ },
+    aSince,
+    foundation::SteadyNow());
+}
+
 } // namespace wigeonlb::daemon::control
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -13,6 +14,7 @@
 #include "control/hostagent.h"
 #include "control/leaderdriver.h"
 #include "control/lostpeers.h"
+#include "core/membership/balancerwatch.h"
 #include "core/membership/isolation.h"
 #include "peer/peerlinks.h"
 #include "settings/daemonsettings.h"
@@ -69,7 +71,18 @@
 
   // For the control thread only.
   //! This host is cut off with a part of the system that can't serve.
-  bool IsCutOff() const { return isolation_.cutOff_; }
+  //! False while the host is cut off or may be.
+  bool MayTakeCallers() const
+  {
+    return core::membership::MayTakeCallers(isolation_);
+  }
+
+  //! Takes the answer to a probe of the balancer. Callable from any thread.
+  void NoteProbe(bool aServing);
+
+  //! Whether the balancer sends no new callers to this host, which isn't ready
+  //! since aSince. Callable from any thread.
+  bool BalancerHasNoticed(foundation::Instant aSince) const;
   HostAgent& Agent() { return *agent_; }
   ChangeDesk& Desk() { return *desk_; }
   const ConsensusMember* Member() const { return member_.get(); }
@@ -124,6 +137,8 @@
   bool filesShort_ = false; //!< the limit of open files is too low
   LostPeers lostPeers_;
   core::membership::Isolation isolation_;
+  mutable std::mutex balancerMutex_;
+  core::membership::BalancerWatch balancer_;
   //! A decided change that this host has not in force yet.
   struct DecidedChange
   {
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -130,8 +130,11 @@
   ControlInterface interface;
   interface.isServing_ = [this] {
     // A host that knows no group yet could only refuse its callers.
-    return !draining_ && control_->Agent().KnowsConfiguration() &&
-           !control_->IsCutOff();
+    const bool serving = !draining_ &&
+                         control_->Agent().KnowsConfiguration() &&
+                         control_->MayTakeCallers();
+    control_->NoteProbe(serving);
+    return serving;
   };
   interface.onAnnouncement_ = [this](wire::Announcement&& aAnnouncement) {
     control_->Agent().OnAnnouncement(aAnnouncement);
@@ -330,7 +333,7 @@
 {
   const Duration waited = SteadyNow() - drainStarted_;
   // Until the balancer has noticed, it goes on sending new callers here.
-  if (!callersStopped_ && waited >= settings_.balancerNotice_) {
+  if (!callersStopped_ && control_->BalancerHasNoticed(drainStarted_)) {
     callersStopped_ = true;
     traffic_->Drain();
   }
--- a/apps/wigeonlbd/settings/daemonsettings.cpp
+++ b/apps/wigeonlbd/settings/daemonsettings.cpp
@@ -378,6 +378,13 @@
     "a "
     "host that is cut off keeps its callers",
     ReadMilliseconds<&S::balancerNotice_, 0, 60'000> },
+  { "balancer-refusals",
+    "WIGEONLB_BALANCER_REFUSALS",
+    "0",
+    "",
+    "refused probes in a row after which the balancer sends no new callers; "
+    "what waits for balancer-notice-ms goes on then; 0: not known",
+    ReadCount<&S::balancerRefusals_, 0, 100> },
   { "promotion-address",
     "WIGEONLB_PROMOTION_ADDRESS",
     "",
--- a/packages/core/membership/isolation.cpp
+++ b/packages/core/membership/isolation.cpp
@@ -15,6 +15,7 @@
 {
   if (aNow - aLeaderHeardAt < kLeaderSilenceMs) {
     aState.tried_.clear();
+    aState.judged_ = false;
     return {};
   }
   if (!aState.tried_.empty()) {
@@ -38,8 +39,31 @@
     const auto lost =
       static_cast<std::size_t>(std::ranges::count_if(aState.tried_, aIsLost));
     aState.cutOff_ = lost * kLostPart >= aState.tried_.size();
+    aState.judged_ = true;
+  }
+  if (aState.cutOff_ && !before) {
+    aState.cutOffSince_ = aNow;
+    aState.sentAwayAt_ = {};
   }
   return before != aState.cutOff_;
 }
 
+bool
+MayTakeCallers(const Isolation& aState)
+{
+  const bool suspected = !aState.tried_.empty() && !aState.judged_;
+  return !aState.cutOff_ && !suspected;
+}
+
+bool
+SendsCallersAway(Isolation& aState, bool aNoticed, Instant aNow)
+{
+  if (!aState.cutOff_ || !aNoticed ||
+      aNow - aState.sentAwayAt_ < kAwayAgainMs) {
+    return false;
+  }
+  aState.sentAwayAt_ = aNow;
+  return true;
+}
+
 } // namespace wigeonlb::core::membership
--- a/packages/core/membership/isolation.h
+++ b/packages/core/membership/isolation.h
@@ -11,14 +11,14 @@
 //! serve, so that its callers are better off elsewhere.
 namespace wigeonlb::core::membership {
 
-//! Silence of the control leader after which other hosts are tried: a few
+//! Silence of the control leader after which other hosts are tried: two
 //! heartbeats.
 constexpr foundation::Duration kLeaderSilenceMs =
-  std::chrono::milliseconds(600);
+  std::chrono::milliseconds(500);
 
 //! Time for the hosts that were tried to answer or to be found lost; a little
 //! above that of the links.
-constexpr foundation::Duration kProofMs = std::chrono::milliseconds(1700);
+constexpr foundation::Duration kProofMs = std::chrono::milliseconds(900);
 
 //! Hosts that are tried at most.
 constexpr std::size_t kHostsTried = 12;
@@ -27,11 +27,18 @@
 //! members are down, other hosts still answer, and all are equally badly off.
 constexpr std::size_t kLostPart = 4;
 
+//! Between two rounds of sending callers away: some still reconnect to this
+//! host, as a balancer without a better one sends them here.
+constexpr foundation::Duration kAwayAgainMs = std::chrono::milliseconds(1000);
+
 struct Isolation
 {
   foundation::Instant triedAt_;
   std::vector<foundation::HostId> tried_;
+  bool judged_ = false; //!< the hosts that were tried had their time
   bool cutOff_ = false;
+  foundation::Instant cutOffSince_;
+  foundation::Instant sentAwayAt_; //!< callers, last
 };
 
 //! Takes the time at which the leader was last heard. Returns the hosts to try
@@ -49,4 +56,14 @@
                const std::function<bool(const foundation::HostId&)>& aIsLost,
                foundation::Instant aNow);
 
+//! False while the host is cut off, or may be: the balancer takes a host out
+//! only when it refuses for longer than the proof takes.
+bool
+MayTakeCallers(const Isolation& aState);
+
+//! True when the callers are to be sent to other hosts now. aNoticed: no new
+//! ones come any more.
+bool
+SendsCallersAway(Isolation& aState, bool aNoticed, foundation::Instant aNow);
+
 } // namespace wigeonlb::core::membership
--- a/packages/peer/internal/link.cpp
+++ b/packages/peer/internal/link.cpp
@@ -8,10 +8,15 @@
 
 //! Bytes that stay unacknowledged for so long end the connection. As long as
 //! until a peer is lost.
-constexpr int kHeldBackLimitMs = 1500;
+constexpr int kHeldBackLimitMs = kLostAfterMs.count();
 
 constexpr int kSocketQueueMessages = 256;
+
+//! An opening packet that a host without power did not answer is sent again
+//! after this; the kernel alone waits for a second.
 constexpr int kConnectTimeoutMs = 300;
+
+//! Pauses between two tries, as a peer that starts has to be found soon.
 constexpr int kReconnectMinMs = 50;
 constexpr int kReconnectMaxMs = 250;
 constexpr std::size_t kMaxDelayedChunks = 16;
--- a/packages/peer/internal/linkthread.cpp
+++ b/packages/peer/internal/linkthread.cpp
@@ -434,11 +434,14 @@
     if (aLink->dropped_) {
       DropWaiting(*aLink);
     } else {
-      if (aLink->touched_.exchange(false)) {
+      const bool touched = aLink->touched_.exchange(false);
+      if (touched) {
         aLink->lastUsed_ = aNow;
       }
       if (!aLink->dealer_) {
         Open(*aLink, aNow);
+      } else if (touched && !aLink->pings_.unansweredSince_) {
+        Ping(*aLink, aNow);
       }
       FlushLink(*aLink, context);
     }
--- a/packages/peer/internal/pingstate.h
+++ b/packages/peer/internal/pingstate.h
@@ -26,8 +26,9 @@
   std::optional<OwedPong> owed_;
 };
 
-//! Longest time that a pong waits for a message to ride on.
-constexpr foundation::Duration kRideWaitMs = std::chrono::milliseconds(350);
+//! Longest time that a pong waits for a message to ride on; far below the time
+//! after which a peer counts as lost.
+constexpr foundation::Duration kRideWaitMs = std::chrono::milliseconds(200);
 
 //! The instant as pings carry it.
 std::uint64_t
--- a/packages/peer/peerlinks.h
+++ b/packages/peer/peerlinks.h
@@ -20,6 +20,10 @@
 //! Largest serialized message; larger ones are refused on both sides.
 inline constexpr std::size_t kMaxMessageBytes = std::size_t{ 16 } * 1024 * 1024;
 
+//! Silence of a peer after which it counts as lost: four pings, and above the
+//! pauses of a host that is short of processor time.
+inline constexpr std::chrono::milliseconds kLostAfterMs{ 800 };
+
 //! Another host and where its links listen.
 struct PeerEndpoint
 {
@@ -46,12 +50,12 @@
   std::string listenAddress_; //!< `ip:port`; port 0 picks a free one
   //! Of links that carry statements in flight, that are kept open, or that are
   //! not reachable yet.
-  foundation::Duration pingInterval_ = std::chrono::milliseconds(500);
+  foundation::Duration pingInterval_ = kLostAfterMs / 4;
   //! Bounds the pings of other open links: with more of them than this allows
   //! they are pinged, and found lost, more slowly.
   std::uint32_t idlePingsPerSecond_ = 8;
   //! A peer is lost when a ping was not answered for this long.
-  foundation::Duration lostAfter_ = std::chrono::milliseconds(1500);
+  foundation::Duration lostAfter_ = kLostAfterMs;
   //! A link without messages is closed after this time. Longer than a
   //! transaction may stay idle, so that the loss of its caller's host is found.
   foundation::Duration closeAfter_ = std::chrono::seconds(35);
@@ -59,7 +63,7 @@
   std::size_t queueLimit_ = 10000;                                //!< messages
   std::size_t queueBytesLimit_ = std::size_t{ 16 } * 1024 * 1024; //!< bytes
   //! A message that waited longer is dropped: whoever sent it has given up.
-  foundation::Duration queueAgeLimit_ = std::chrono::milliseconds(1500);
+  foundation::Duration queueAgeLimit_ = kLostAfterMs;
   //! Average that configuration snapshots may bring the control class to, in
   //! bytes a second over all peers; 0 means no limit.
   std::uint64_t controlRate_ = std::uint64_t{ 6 } * 1024;
@@ -129,8 +133,8 @@
   //! Errors: UnknownPeer, QueueFull, Stopped, MessageTooLarge.
   std::error_code Send(std::string_view aHost, wire::PeerMessage aMessage);
 
-  //! Opens a link without a message, so that the peer is found reachable or
-  //! lost. Callable from any thread. Errors: UnknownPeer, Stopped.
+  //! Opens a link without a message, or pings over an open one, so that the peer
+  //! is found reachable or lost. Callable from any thread. Errors: UnknownPeer, Stopped.
   std::error_code Touch(std::string_view aHost);
 
   //! Sets the average for the control class, in bytes a second; 0 for none.
--- a/packages/peer/tests/peerlinks_tests.cpp
+++ b/packages/peer/tests/peerlinks_tests.cpp
@@ -138,6 +138,19 @@
   CHECK(left.WaitReachable("right", false));
 }
 
+TEST_CASE("a link that was idle is checked when it's touched", "[peerlinks]")
+{
+  // One ping in ten minutes: only the touch finds the loss.
+  PeerLinksSettings settings;
+  settings.pingInterval_ = std::chrono::minutes(10);
+  TestHost left("left", settings);
+  auto right = std::make_unique<TestHost>("right");
+  Connect(left, *right);
+  right.reset();
+  REQUIRE_FALSE(left.links_->Touch("right"));
+  CHECK(left.WaitReachable("right", false));
+}
+
 TEST_CASE("a link is opened on use and closed after idle time", "[peerlinks]")
 {
   PeerLinksSettings settings;
--- a/packages/peer/tests/testhost.h
+++ b/packages/peer/tests/testhost.h
@@ -22,7 +22,9 @@
     aSettings.host_ = aHost;
     aSettings.boot_ = aSettings.boot_ == 0 ? 7 : aSettings.boot_;
     aSettings.listenAddress_ = aAddress;
-    aSettings.pingInterval_ = std::chrono::milliseconds(20);
+    if (aSettings.pingInterval_ == PeerLinksSettings{}.pingInterval_) {
+      aSettings.pingInterval_ = std::chrono::milliseconds(20);
+    }
     if (aSettings.lostAfter_ == PeerLinksSettings{}.lostAfter_) {
       aSettings.lostAfter_ = std::chrono::milliseconds(300);
     }
