Lists of hosts are told by their changes, and a new leader's short one grows at once

Cause: after a power loss full service came 0.7 s after the grants.

Now: a reply changes the list that the host has of this leader (new, changed and gone hosts), a whole list goes only to a host with none of it; changes are told at once. At fleet size a restart of one host costs each heartbeat reply one entry instead of the whole list.

--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -130,8 +130,7 @@
   ControlInterface interface;
   interface.isServing_ = [this] {
     // A host that knows no group yet could only refuse its callers.
-    const bool serving = !draining_ &&
-                         control_->Agent().KnowsConfiguration() &&
+    const bool serving = !draining_ && control_->Agent().KnowsConfiguration() &&
                          control_->MayTakeCallers();
     control_->NoteProbe(serving);
     return serving;
--- a/packages/core/failover/failover.cpp
+++ b/packages/core/failover/failover.cpp
@@ -217,21 +217,16 @@
          wire::HeartbeatReply& aReply)
 {
   // Under a numbered configuration all hosts start together, and one that has
-  // no list yet can't be worse off with a short one.
-  const bool first =
-    aHeartbeat.hosts_version() == 0 && aControl.document_number() != 0;
-  if (aNow - aState.leadingSince_ < kHostListSettleMs && !first) {
-    aReply.set_hosts_version(aHeartbeat.hosts_version());
+  // no list yet, or a short one of this leader, is better off with a longer
+  // one.
+  const auto known = aHeartbeat.hosts_version();
+  const bool early = (known == 0 && aControl.document_number() != 0) ||
+                     known >= aState.membership_.oldestBase_;
+  if (aNow - aState.leadingSince_ < kHostListSettleMs && !early) {
+    aReply.set_hosts_version(known);
     return;
   }
-  const auto version = aState.membership_.hostsVersion_;
-  aReply.set_hosts_version(version);
-  if (aHeartbeat.hosts_version() == version) {
-    return;
-  }
-  for (auto& host : membership::AliveHosts(aState.membership_)) {
-    *aReply.add_hosts() = std::move(host);
-  }
+  membership::AddHostChanges(aState.membership_, known, aReply);
 }
 
 //! Names the targets that take no new work, in the groups that the host owns.
@@ -364,7 +359,7 @@
   aState.leadingSince_ = aNow;
   aState.membership_ = {};
   // Differs from every version that an earlier leader gave out.
-  aState.membership_.hostsVersion_ = (aTerm << 32U) + 1;
+  membership::StartHostVersions(aState.membership_, (aTerm << 32U) + 1);
   aState.revisionsInForce_.clear();
   aState.owners_.clear();
   aState.ownersHostsVersion_ = 0;
--- a/packages/core/grants/holder.cpp
+++ b/packages/core/grants/holder.cpp
@@ -60,6 +60,35 @@
   aState.holders_ = std::move(kept);
 }
 
+//! Takes a list of hosts, or changes of the one that is known here.
+void
+TakeHosts(HolderState& aState,
+          const wire::HeartbeatReply& aReply,
+          Actions& aActions)
+{
+  const bool whole = aReply.hosts_base() == 0 && aReply.hosts_size() > 0;
+  const bool fits =
+    aReply.hosts_base() != 0 && aReply.hosts_base() == aState.hostsVersion_;
+  if (aReply.hosts_version() == aState.hostsVersion_ || (!whole && !fits)) {
+    return;
+  }
+  if (whole) {
+    aState.hosts_.clear();
+  }
+  aState.hostsVersion_ = aReply.hosts_version();
+  for (const auto& host : aReply.hosts()) {
+    aState.hosts_[host.host()] = host;
+  }
+  for (const auto& host : aReply.hosts_gone()) {
+    aState.hosts_.erase(host);
+  }
+  HostsChanged changed;
+  for (const auto& [name, host] : aState.hosts_) {
+    changed.hosts_.push_back(host);
+  }
+  aActions.push_back(std::move(changed));
+}
+
 void
 TakeLeaderReply(HolderState& aState,
                 const wire::HeartbeatReply& aReply,
@@ -74,12 +103,7 @@
   aState.tellsHolders_ = aReply.tell_holders();
   KeepHolders(aState, aReply);
   ForgetAnswered(aState, aReply.sequence());
-  if (aReply.hosts_size() > 0 &&
-      aReply.hosts_version() != aState.hostsVersion_) {
-    aState.hostsVersion_ = aReply.hosts_version();
-    aActions.push_back(
-      HostsChanged{ { aReply.hosts().begin(), aReply.hosts().end() } });
-  }
+  TakeHosts(aState, aReply, aActions);
   for (const auto& grant : aReply.grants()) {
     TakeGrant(aState, grant, aReply.sent_at_us(), aNow, aActions);
   }
--- a/packages/core/grants/holder.h
+++ b/packages/core/grants/holder.h
@@ -80,6 +80,7 @@
   bool tellsHolders_ = false;   //!< the leader is new and asks for holders_
   std::uint64_t revision_ = 0;  //!< in force, as the driver reported it
   std::uint64_t hostsVersion_ = 0;
+  std::map<foundation::HostId, wire::HostInfo> hosts_; //!< of that version
   std::map<foundation::GroupName, HeldGrant> grants_;
   //! Connections of groups without a grant, beside the probe connection.
   std::map<foundation::GroupName, std::uint32_t> left_;
--- a/packages/core/grants/tests/holder_tests.cpp
+++ b/packages/core/grants/tests/holder_tests.cpp
@@ -302,6 +302,51 @@
   CHECK(next[0].member_ == row.askedNext_);
 }
 
+TEST_CASE("a list of hosts changes only from the one that is known", "[holder]")
+{
+  struct Row
+  {
+    std::uint64_t base_;
+    std::uint64_t version_;
+    std::vector<std::string> hosts_;
+    std::vector<std::string> gone_;
+    std::string known_; //!< afterwards
+  };
+  // The holder has the list of a and b, version 5.
+  const auto row = GENERATE(values<Row>({
+    { 5, 6, { "c" }, { "a" }, "bc" },
+    { 5, 6, {}, { "a" }, "b" },
+    { 4, 6, { "c" }, {}, "ab" }, // of a list that it doesn't have
+    { 0, 6, { "c" }, {}, "c" },
+    { 0, 5, {}, {}, "ab" },
+  }));
+  Fixture holder;
+  wire::HeartbeatReply reply = holder.Ask(0);
+  reply.set_hosts_version(5);
+  reply.add_hosts()->set_host("a");
+  reply.add_hosts()->set_host("b");
+  holder.Feed(ReplyReceived{ reply });
+  REQUIRE(holder.Actions<HostsChanged>().size() == 1);
+  reply = holder.Ask(0);
+  reply.set_hosts_base(row.base_);
+  reply.set_hosts_version(row.version_);
+  for (const auto& host : row.hosts_) {
+    reply.add_hosts()->set_host(host);
+  }
+  for (const auto& host : row.gone_) {
+    reply.add_hosts_gone(host);
+  }
+  holder.Feed(ReplyReceived{ reply });
+  std::string known;
+  for (const auto& [name, host] : holder.state_.hosts_) {
+    known += name;
+  }
+  CHECK(known == row.known_);
+  const bool changed = row.known_ != "ab";
+  CHECK(holder.Actions<HostsChanged>().size() == (changed ? 1 : 0));
+  CHECK(holder.state_.hostsVersion_ == (changed ? 6 : 5));
+}
+
 TEST_CASE("a holder whose grant is pending asks again soon", "[holder]")
 {
   struct Row
--- a/packages/core/membership/membership.cpp
+++ b/packages/core/membership/membership.cpp
@@ -46,7 +46,8 @@
   }
   if (added || !SameInfo(entry.info_, aHost)) {
     entry.info_ = aHost;
-    ++aState.hostsVersion_;
+    entry.changedIn_ = ++aState.hostsVersion_;
+    aState.goneHosts_.erase(aHost.host());
     aState.changedHosts_.insert(aHost.host());
   }
   entry.sequence_ = aSequence;
@@ -57,14 +58,22 @@
 void
 ExpireSilent(MembershipState& aState, Instant aNow)
 {
+  const std::uint64_t without = aState.hostsVersion_ + 1;
   const auto lost = std::erase_if(aState.hosts_, [&](const auto& aItem) {
     const bool silent = aNow - aItem.second.lastHeard_ > kHostSilenceMs;
     if (silent) {
       aState.changedHosts_.insert(aItem.first);
+      aState.goneHosts_[aItem.first] = without;
     }
     return silent;
   });
-  aState.hostsVersion_ += lost > 0 ? 1 : 0;
+  if (lost > 0) {
+    aState.hostsVersion_ = without;
+  }
+  if (aState.goneHosts_.size() > kGoneHosts) {
+    aState.goneHosts_.clear();
+    aState.oldestBase_ = aState.hostsVersion_;
+  }
   for (auto& [group, targets] : aState.targets_) {
     for (auto& [name, entry] : targets) {
       if (aNow - entry.announcedAt_ > kTargetSilenceMs) {
@@ -88,6 +97,42 @@
   return hosts;
 }
 
+void
+StartHostVersions(MembershipState& aState, std::uint64_t aVersion)
+{
+  aState.hostsVersion_ = aVersion;
+  aState.oldestBase_ = aVersion;
+  aState.goneHosts_.clear();
+  for (auto& [name, host] : aState.hosts_) {
+    host.changedIn_ = aVersion;
+  }
+}
+
+void
+AddHostChanges(const MembershipState& aState,
+               std::uint64_t aKnown,
+               wire::HeartbeatReply& aReply)
+{
+  aReply.set_hosts_version(aState.hostsVersion_);
+  if (aKnown == aState.hostsVersion_) {
+    return;
+  }
+  const bool changes =
+    aKnown >= aState.oldestBase_ && aKnown < aState.hostsVersion_;
+  const std::uint64_t since = changes ? aKnown : 0;
+  aReply.set_hosts_base(since);
+  for (const auto& [name, host] : aState.hosts_) {
+    if (!changes || host.changedIn_ > since) {
+      *aReply.add_hosts() = host.info_;
+    }
+  }
+  for (const auto& [name, version] : aState.goneHosts_) {
+    if (changes && version > since) {
+      aReply.add_hosts_gone(name);
+    }
+  }
+}
+
 bool
 NoteAnnouncement(MembershipState& aState,
                  const wire::Announcement& aAnnouncement,
--- a/packages/core/membership/membership.h
+++ b/packages/core/membership/membership.h
@@ -28,8 +28,13 @@
   wire::HostInfo info_;
   std::uint64_t sequence_ = 0; //!< of the last heartbeat taken
   foundation::Instant lastHeard_;
+  std::uint64_t changedIn_ = 0; //!< version of the list that told of it last
 };
 
+//! Hosts that went away are remembered up to this number; a host that knows an
+//! older list gets a whole one.
+constexpr std::size_t kGoneHosts = 64;
+
 //! One observer's last report of a target.
 struct Observation
 {
@@ -55,6 +60,10 @@
 {
   std::map<foundation::HostId, HostEntry> hosts_;
   std::uint64_t hostsVersion_ = 0; //!< differs whenever the live hosts differ
+  //! Hosts that went away, and the version without them.
+  std::map<foundation::HostId, std::uint64_t> goneHosts_;
+  //! The oldest version that a list can be changed from.
+  std::uint64_t oldestBase_ = 0;
   //! Hosts that came, went or changed since the owners were last chosen.
   std::set<foundation::HostId> changedHosts_;
   std::map<foundation::GroupName, std::map<foundation::TargetName, TargetEntry>>
@@ -77,6 +86,17 @@
 std::vector<wire::HostInfo>
 AliveHosts(const MembershipState& aState);
 
+//! Begins a new series of versions; lists of earlier ones are replaced.
+void
+StartHostVersions(MembershipState& aState, std::uint64_t aVersion);
+
+//! Adds to a reply what a host with the list aKnown lacks: the changes, or the
+//! whole list when aKnown is none of this series.
+void
+AddHostChanges(const MembershipState& aState,
+               std::uint64_t aKnown,
+               wire::HeartbeatReply& aReply);
+
 //! Notes an announcement that arrived at aNow. Returns false for one that is
 //! older than the last taken of the target; it changes nothing.
 bool
--- a/packages/core/membership/tests/isolation_tests.cpp
+++ b/packages/core/membership/tests/isolation_tests.cpp
@@ -9,8 +9,7 @@
 using foundation::Instant;
 using std::chrono::milliseconds;
 
-TEST_CASE("callers are sent away once the balancer has noticed",
-          "[isolation]")
+TEST_CASE("callers are sent away once the balancer has noticed", "[isolation]")
 {
   struct Row
   {
--- a/packages/core/membership/tests/membership_tests.cpp
+++ b/packages/core/membership/tests/membership_tests.cpp
@@ -71,6 +71,69 @@
   CHECK_FALSE(TakesNewWork(state, "g", "a", kStart));
 }
 
+TEST_CASE("a list of hosts is told by its changes", "[membership]")
+{
+  constexpr std::uint64_t kFirst = std::uint64_t{ 7 } << 32U;
+  struct Row
+  {
+    std::string_view what_;
+    std::uint64_t known_;
+    std::uint64_t base_;
+    std::vector<std::string> hosts_;
+    std::vector<std::string> gone_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "no list", 0, 0, { "a", "c", "d" }, {} },
+    { "of an earlier leader", kFirst - 5, 0, { "a", "c", "d" }, {} },
+    { "before all", kFirst, kFirst, { "a", "c", "d" }, { "b" } },
+    { "with a, b", kFirst + 2, kFirst + 2, { "c", "d" }, { "b" } },
+    { "with a, b, c", kFirst + 3, kFirst + 3, { "c", "d" }, { "b" } },
+    { "c restarted", kFirst + 4, kFirst + 4, { "d" }, { "b" } },
+    { "without b", kFirst + 5, kFirst + 5, { "d" }, {} },
+    { "newest", kFirst + 6, 0, {}, {} },
+  }));
+  INFO(row.what_);
+  MembershipState state;
+  StartHostVersions(state, kFirst);
+  NoteHost(state, MakeHost("a", 1), 1, kStart);
+  NoteHost(state, MakeHost("b", 1), 1, kStart);
+  const auto later = kStart + kHostSilenceMs;
+  NoteHost(state, MakeHost("c", 1), 1, later);
+  NoteHost(state, MakeHost("a", 1), 2, later);
+  NoteHost(state, MakeHost("c", 2), 1, later);
+  ExpireSilent(state, later + milliseconds(1));
+  NoteHost(state, MakeHost("d", 1), 1, later);
+
+  wire::HeartbeatReply reply;
+  AddHostChanges(state, row.known_, reply);
+  CHECK(reply.hosts_version() == kFirst + 6);
+  CHECK(reply.hosts_base() == row.base_);
+  std::vector<std::string> hosts;
+  for (const auto& host : reply.hosts()) {
+    hosts.push_back(host.host());
+  }
+  CHECK(hosts == row.hosts_);
+  CHECK(std::vector<std::string>(reply.hosts_gone().begin(),
+                                 reply.hosts_gone().end()) == row.gone_);
+}
+
+TEST_CASE("too many gone hosts make the next list a whole one", "[membership]")
+{
+  MembershipState state;
+  StartHostVersions(state, 100);
+  for (std::size_t i = 0; i <= kGoneHosts; ++i) {
+    NoteHost(state, MakeHost("h" + std::to_string(i), 1), 1, kStart);
+  }
+  const auto known = state.hostsVersion_;
+  const auto later = kStart + kHostSilenceMs + milliseconds(1);
+  NoteHost(state, MakeHost("stays", 1), 1, later);
+  ExpireSilent(state, later);
+  wire::HeartbeatReply reply;
+  AddHostChanges(state, known, reply);
+  CHECK(reply.hosts_base() == 0);
+  CHECK(reply.hosts_size() == 1);
+}
+
 TEST_CASE("a rebuild is noticed by each observer's own order", "[membership]")
 {
   struct Row
--- a/packages/peer/peerlinks.h
+++ b/packages/peer/peerlinks.h
@@ -133,8 +133,9 @@
   //! Errors: UnknownPeer, QueueFull, Stopped, MessageTooLarge.
   std::error_code Send(std::string_view aHost, wire::PeerMessage aMessage);
 
-  //! Opens a link without a message, or pings over an open one, so that the peer
-  //! is found reachable or lost. Callable from any thread. Errors: UnknownPeer, Stopped.
+  //! Opens a link without a message, or pings over an open one, so that the
+  //! peer is found reachable or lost. Callable from any thread. Errors:
+  //! UnknownPeer, Stopped.
   std::error_code Touch(std::string_view aHost);
 
   //! Sets the average for the control class, in bytes a second; 0 for none.
