--- a/apps/wigeonlbd/control/controlpeers.cpp
+++ b/apps/wigeonlbd/control/controlpeers.cpp
@@ -139,6 +139,14 @@
   }
 }
 
+bool
+ControlRuntime::MayTakeCallers() const
+{
+  const bool heard = agent_->HasHeardLeader() ||
+                     (agent_->IsAlone() && !settings::HasBalancer(settings_));
+  return core::membership::MayTakeCallers(isolation_, heard);
+}
+
 void
 ControlRuntime::NoteProbe(bool aServing)
 {
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -71,11 +71,9 @@
 
   // For the control thread only.
   //! This host is cut off with a part of the system that can't serve.
-  //! False while the host is cut off or may be.
-  bool MayTakeCallers() const
-  {
-    return core::membership::MayTakeCallers(isolation_);
-  }
+  //! False while the host is cut off or may be. Without a balancer a host that
+  //! finds no leader serves what it can.
+  bool MayTakeCallers() const;
 
   //! Takes the answer to a probe of the balancer. Callable from any thread.
   void NoteProbe(bool aServing);
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -80,6 +80,12 @@
   //! When a leader last answered; the start before the first time.
   foundation::Instant LeaderHeardAt() const { return leaderHeardAt_; }
 
+  //! Since the start of the process.
+  bool HasHeardLeader() const { return heardLeader_; }
+
+  //! No leader was found for long after the start.
+  bool IsAlone() const { return alone_; }
+
   const core::configuration::ConfigurationView& View() const { return view_; }
   const core::grants::HolderState& Holder() const { return holder_; }
   const std::vector<wire::HostInfo>& Hosts() const { return hosts_; }
--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -335,6 +335,10 @@
 void
 LeaderDriver::Execute(const failover::OrderPromotion& aAction)
 {
+  const auto key = std::pair(aAction.group_, aAction.fence_);
+  if (!ordersUnderWay_.insert(key).second) {
+    return; // it is answered, or counts as lost, soon
+  }
   foundation::LogChange("control",
                         "promotion-ordered",
                         { { "group", aAction.group_ },
@@ -348,6 +352,7 @@
              if (alive.expired()) {
                return;
              }
+             ordersUnderWay_.erase({ order.group_, order.fence_ });
              if (aResult.report_) {
                aResult.report_->set_group(order.group_);
                aResult.report_->set_target(order.target_);
--- a/apps/wigeonlbd/control/leaderdriver.h
+++ b/apps/wigeonlbd/control/leaderdriver.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 
@@ -101,6 +102,8 @@
   std::map<foundation::HostId, std::uint64_t> membersKnown_; //!< by index
   //! Members that relay the heartbeats of a host; none: it comes directly.
   std::map<foundation::HostId, foundation::HostId> relays_;
+  //! Promotions that were ordered and not answered yet, by group and fence.
+  std::set<std::pair<foundation::GroupName, std::uint64_t>> ordersUnderWay_;
   bool leading_ = false;
   std::map<foundation::HostId, foundation::Revision> inForce_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/packages/core/membership/isolation.cpp
+++ b/packages/core/membership/isolation.cpp
@@ -49,10 +49,10 @@
 }
 
 bool
-MayTakeCallers(const Isolation& aState)
+MayTakeCallers(const Isolation& aState, bool aLeaderHeard)
 {
   const bool suspected = !aState.tried_.empty() && !aState.judged_;
-  return !aState.cutOff_ && !suspected;
+  return aLeaderHeard && !aState.cutOff_ && !suspected;
 }
 
 bool
--- a/packages/core/membership/isolation.h
+++ b/packages/core/membership/isolation.h
@@ -57,9 +57,10 @@
                foundation::Instant aNow);
 
 //! False while the host is cut off, or may be: the balancer takes a host out
-//! only when it refuses for longer than the proof takes.
+//! only when it refuses for longer than the proof takes. A host that has heard
+//! no leader since its start may have started in a part that is cut off.
 bool
-MayTakeCallers(const Isolation& aState);
+MayTakeCallers(const Isolation& aState, bool aLeaderHeard);
 
 //! True when the callers are to be sent to other hosts now. aNoticed: no new
 //! ones come any more.
--- a/packages/core/membership/tests/isolation_tests.cpp
+++ b/packages/core/membership/tests/isolation_tests.cpp
@@ -35,7 +35,7 @@
     if (SendsCallersAway(state, at >= row.noticedAfter_, heard + at)) {
       sentAway.push_back(static_cast<int>(foundation::ToMilliseconds(at)));
     }
-    refused += MayTakeCallers(state) ? Duration(0) : milliseconds(100);
+    refused += MayTakeCallers(state, true) ? Duration(0) : milliseconds(100);
   }
   CHECK(sentAway == row.sentAwayAtMs_);
   // Without a partition, for less than the second between two probes.
@@ -43,6 +43,21 @@
   CHECK(refused >= kProofMs);
 }
 
+TEST_CASE("a host that starts in a part that is cut off takes no callers",
+          "[isolation]")
+{
+  // It knows no other hosts that could be tried.
+  const Instant started{ std::chrono::seconds(100) };
+  Isolation state;
+  WatchLeader(state, started, {}, started + std::chrono::seconds(2));
+  JudgeIsolation(
+    state,
+    [](const HostId&) { return true; },
+    started + std::chrono::seconds(4));
+  const bool heard = GENERATE(false, true);
+  CHECK(MayTakeCallers(state, heard) == heard);
+}
+
 TEST_CASE("a host tells a partition from control members that are down",
           "[isolation]")
 {
