A new leader sends the others only what they lack

It sent its whole log, 2.4 MB, to each of the others in batches that heartbeats repeated: the progress of the others was first touched by a look-up that makes it with the log's start.

Now: a new leader supposes that the others have its log up to the entry that opens its term; one that lacks some says so, as before.

--- a/packages/core/consensus/internal/replication.cpp
+++ b/packages/core/consensus/internal/replication.cpp
@@ -166,6 +166,10 @@
   state.leader_ = state.settings_.self_;
   state.leadingSince_ = aContext.now_;
   state.progress_.clear();
+  // The others most likely have the whole log; one that lacks some says so.
+  for (const foundation::HostId& host : OtherMembers(state)) {
+    state.progress_[host].next_ = LastIndex(state.log_) + 1;
+  }
   state.incoming_.reset();
   state.heartbeatDue_ = aContext.now_ + state.settings_.heartbeatInterval_;
   ProposeRecord(aContext, wire::ControlRecord());
--- a/packages/core/consensus/tests/election_tests.cpp
+++ b/packages/core/consensus/tests/election_tests.cpp
@@ -66,4 +66,33 @@
   }
 }
 
+TEST_CASE("a new leader sends only what the others lack",
+          "[consensus][election]")
+{
+  // Fewer than make a snapshot, so that all of them stand in the log.
+  constexpr std::uint64_t kEntries = 6;
+  VirtualNetwork network =
+    MakeNetwork({ .lossPercent_ = 0, .duplicatePercent_ = 0 });
+  Run(network, 3s);
+  for (std::uint64_t token = 1; token <= kEntries; ++token) {
+    SendChange(network, token, Leader(network));
+    Run(network, 200ms);
+  }
+  for (const auto& [host, member] : network.members_) {
+    Crash(network, host);
+  }
+  Run(network, 1s);
+  for (const auto& [host, member] : network.members_) {
+    Start(network, host);
+  }
+  network.entriesSent_ = 0;
+  while (Leader(network).empty()) {
+    Run(network, 10ms);
+  }
+  Run(network, 50ms);
+  // The entry that opens its term, once to each, and once more by a heartbeat.
+  CHECK(network.entriesSent_ <= 4);
+  CHECK(network.violations_.empty());
+}
+
 } // namespace wigeonlb::core::consensus
--- a/packages/core/consensus/tests/virtualnetwork.cpp
+++ b/packages/core/consensus/tests/virtualnetwork.cpp
@@ -69,6 +69,8 @@
 {
   aNetwork.largestPart_ =
     std::max(aNetwork.largestPart_, aMessage.snapshot_request().chunk().size());
+  aNetwork.entriesSent_ +=
+    static_cast<std::uint64_t>(aMessage.append_request().entries_size());
   const bool cut = aNetwork.cut_.contains({ aMessage.from(), aMessage.to() });
   if (cut || Chance(aNetwork, 10 * aNetwork.settings_.lossPercent_)) {
     return;
--- a/packages/core/consensus/tests/virtualnetwork.h
+++ b/packages/core/consensus/tests/virtualnetwork.h
@@ -104,6 +104,7 @@
   std::uint64_t starts_ = 0;
   std::uint64_t disksLost_ = 0;
   std::size_t largestPart_ = 0; //!< of a snapshot on its way, in bytes
+  std::uint64_t entriesSent_ = 0;
 };
 
 VirtualNetwork
