Requests that go wrong leave a line at each host; wigeonctl explain leads from an id to its cause

The entry host logs each answer that this system made up and each hand-over to another owner, the owner each outcome that it decided, with what decided it: grant and its rest, queue, floor, position known of the primary and its age, revision in force. At most 50 lines a second (log-requests-per-s) and four seconds of them at once; what is left out is counted and told. Lines go through a bounded queue on a thread of its own (log4cxx' AsyncAppender, not blocking): whoever logs never waits for whoever reads, and a process ends although nobody reads. Counter wigeonlb_refusals_total by database, outcome and sqlstate. A line at the start of each process.

wigeonctl explain REQUEST LOG... prints the lines of a request and of its attempts at all hosts, what those hosts came to believe in the three seconds before, and the decision that sealed it.

The token bucket moves from the peers' links to foundation: one copy.

--- a/apps/wigeonctl/commands.cpp
+++ b/apps/wigeonctl/commands.cpp
@@ -9,6 +9,7 @@
 
 #include "core/trace/traceerrors.h"
 #include "core/trace/tracereport.h"
+#include "explain.h"
 #include "operator/changeid.h"
 #include "operator/plan.h"
 #include "operator/tableview.h"
@@ -187,6 +188,41 @@
            foundation::ToString(report.unexpected_) };
 }
 
+//! Reads the log files, or standard input when none is named.
+CommandResult
+RunExplain(const CtlSettings& aSettings, std::istream& aInput)
+{
+  std::vector<std::string> names = aSettings.files_;
+  if (names.empty()) {
+    names.emplace_back("-");
+  }
+  Findings findings;
+  std::vector<LogLine> lines;
+  for (const std::string& name : names) {
+    const std::optional<std::string> text = ReadFile(name, aInput);
+    if (!text) {
+      foundation::AddFinding(findings, name, "can't be read");
+      continue;
+    }
+    std::istringstream log(*text);
+    for (std::string line; std::getline(log, line);) {
+      if (auto parsed = ParseLogLine(line, name)) {
+        lines.push_back(std::move(*parsed));
+      }
+    }
+  }
+  if (!findings.empty()) {
+    return { ExitCode::BadInput, {}, foundation::ToString(findings) };
+  }
+  std::string text = ExplainRequest(aSettings.argument_, lines);
+  if (text.empty()) {
+    return { ExitCode::Refused,
+             {},
+             "no line names request " + aSettings.argument_ + "\n" };
+  }
+  return { ExitCode::Done, std::move(text), {} };
+}
+
 } // namespace
 
 CommandResult
@@ -199,6 +235,8 @@
       return RunApply(aSettings, aInput);
     case Command::Replay:
       return RunReplay(aSettings);
+    case Command::Explain:
+      return RunExplain(aSettings, aInput);
     default:
       return RunStatement(aSettings, aInput);
   }
--- a/apps/wigeonctl/ctlsettings.cpp
+++ b/apps/wigeonctl/ctlsettings.cpp
@@ -19,7 +19,8 @@
 constexpr const char* kExitCodes = R"(
 Exit codes:
   0  done
-  1  refused by the system; replay: a trace differs from its stated outcome
+  1  refused by the system; replay: a trace differs from its stated outcome;
+     explain: no line names the request
   2  bad input: command line, file or statement
   3  no host could be reached in time, or the outcome is unknown; the message
      tells the change id to resend with
@@ -33,7 +34,8 @@
   cxxopts::Options options("wigeonctl", "Tells and asks wigeonlb.");
   options.custom_help("[OPTION...]");
   options.positional_help(
-    "'STATEMENTS' | - | apply FILE [--check] | replay FILE...");
+    "'STATEMENTS' | - | apply FILE [--check] | replay FILE... | "
+    "explain REQUEST [LOG...]");
   options.add_options()(
     "host",
     "hosts to try in turn, ip:port, with commas or given again (default: " +
@@ -122,6 +124,15 @@
     }
     return;
   }
+  if (word == "explain") {
+    aSettings.command_ = Command::Explain;
+    aSettings.argument_ = file;
+    aSettings.files_ = rest;
+    if (file.empty()) {
+      AddFinding(aFindings, word, "expected a request's id and log files");
+    }
+    return;
+  }
   if (word == "apply") {
     aSettings.command_ = Command::Apply;
     aSettings.argument_ = file;
--- a/apps/wigeonctl/ctlsettings.h
+++ b/apps/wigeonctl/ctlsettings.h
@@ -16,6 +16,7 @@
   Statement,
   Apply,
   Replay,
+  Explain,
 };
 
 //! The command line and environment of wigeonctl.
@@ -24,7 +25,7 @@
   Command command_ = Command::Statement;
   //! The statements, or the name of a file; `-` stands for standard input.
   std::string argument_;
-  std::vector<std::string> files_; //!< traces to replay
+  std::vector<std::string> files_; //!< traces to replay, or logs to read
   std::vector<std::string> hosts_; //!< `ip:port`, tried in turn
   std::string operator_;
   std::string changeId_; //!< empty: made anew
--- /dev/null
+++ b/apps/wigeonctl/explain.cpp
@@ -0,0 +1,254 @@
+#include "explain.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <set>
+
+namespace wigeonlb::ctl {
+
+namespace {
+
+constexpr std::string_view kLevel = " level=";
+constexpr std::string_view kEvent = " event=";
+
+//! Events that tell of a change in what a host believes.
+constexpr std::string_view kBeliefs[] = {
+  "callers-sent-away",
+  "configuration-in-force",
+  "cut-off",
+  "cut-off-ended",
+  "draining",
+  "grant-ended",
+  "grant-held",
+  "grant-revoked",
+  "leading",
+  "leading-ended",
+  "lost",
+  "promotion-answered",
+  "promotion-ordered",
+  "serving",
+  "starting",
+};
+
+constexpr std::int64_t kMillisecondsPerSecond = 1000;
+
+std::optional<std::int64_t>
+ReadTime(const std::string& aText)
+{
+  std::tm time{};
+  int milliseconds = 0;
+  const int read = std::sscanf(aText.c_str(),
+                               "%4d-%2d-%2dT%2d:%2d:%2d.%3d",
+                               &time.tm_year,
+                               &time.tm_mon,
+                               &time.tm_mday,
+                               &time.tm_hour,
+                               &time.tm_min,
+                               &time.tm_sec,
+                               &milliseconds);
+  constexpr int kParts = 7;
+  if (read != kParts) {
+    return std::nullopt;
+  }
+  constexpr int kFirstYear = 1900;
+  time.tm_year -= kFirstYear;
+  --time.tm_mon;
+  return std::int64_t{ timegm(&time) } * kMillisecondsPerSecond + milliseconds;
+}
+
+//! Takes a value off the front; a quoted one without its quotes.
+std::string
+TakeValue(std::string_view& aRest)
+{
+  std::string value;
+  if (!aRest.starts_with('"')) {
+    const std::size_t end = std::min(aRest.find(' '), aRest.size());
+    value = aRest.substr(0, end);
+    aRest.remove_prefix(end);
+    return value;
+  }
+  aRest.remove_prefix(1);
+  while (!aRest.empty() && aRest.front() != '"') {
+    if (aRest.front() == '\\' && aRest.size() > 1) {
+      aRest.remove_prefix(1);
+    }
+    value += aRest.front();
+    aRest.remove_prefix(1);
+  }
+  aRest.remove_prefix(std::min<std::size_t>(1, aRest.size()));
+  return value;
+}
+
+void
+ReadFields(std::string_view aText, LogLine& aLine)
+{
+  while (!aText.empty()) {
+    const std::size_t equals = aText.find('=');
+    if (equals == std::string_view::npos) {
+      return;
+    }
+    const std::string key(aText.substr(0, equals));
+    aText.remove_prefix(equals + 1);
+    aLine.fields_[key] = TakeValue(aText);
+    aText.remove_prefix(std::min<std::size_t>(1, aText.size()));
+  }
+}
+
+std::string
+FieldOf(const LogLine& aLine, std::string_view aKey)
+{
+  const auto found = aLine.fields_.find(aKey);
+  return found == aLine.fields_.end() ? std::string() : found->second;
+}
+
+//! Names one attempt of a request at all hosts.
+std::string
+AttemptOf(const LogLine& aLine)
+{
+  const std::string session = FieldOf(aLine, "session");
+  return session.empty() ? session : session + "#" + FieldOf(aLine, "attempt");
+}
+
+//! What the request's own lines have in common.
+struct Concerned
+{
+  std::set<std::string> attempts_;
+  std::set<std::string> hosts_;
+  std::set<std::string> groups_;
+  std::int64_t lastMs_ = 0;
+};
+
+Concerned
+FindConcerned(std::string_view aRequest, const std::vector<LogLine>& aLines)
+{
+  Concerned concerned;
+  for (const LogLine& line : aLines) {
+    if (FieldOf(line, "request") != aRequest) {
+      continue;
+    }
+    concerned.attempts_.insert(AttemptOf(line));
+    concerned.hosts_.insert(line.host_);
+    concerned.groups_.insert(FieldOf(line, "group"));
+    concerned.lastMs_ = std::max(concerned.lastMs_, line.atMs_);
+  }
+  concerned.attempts_.erase("");
+  concerned.groups_.erase("");
+  return concerned;
+}
+
+bool
+IsOwn(const LogLine& aLine,
+      std::string_view aRequest,
+      const Concerned& aConcerned)
+{
+  return FieldOf(aLine, "request") == aRequest ||
+         aConcerned.attempts_.contains(AttemptOf(aLine));
+}
+
+bool
+IsBelief(const LogLine& aLine, const Concerned& aConcerned)
+{
+  const std::int64_t before = aConcerned.lastMs_ - aLine.atMs_;
+  const std::string group = FieldOf(aLine, "group");
+  const bool near =
+    before >= 0 && before <= foundation::ToMilliseconds(kBeliefWindowMs);
+  const bool known =
+    std::ranges::find(kBeliefs, aLine.event_) != std::end(kBeliefs);
+  return near && known &&
+         (group.empty() ? aConcerned.hosts_.contains(aLine.host_)
+                        : aConcerned.groups_.contains(group));
+}
+
+//! An owner's decision seals a request; without one, the entry host's does.
+const LogLine*
+FindSeal(const std::vector<const LogLine*>& aOwn)
+{
+  const LogLine* seal = nullptr;
+  for (const LogLine* line : aOwn) {
+    const bool owners = line->event_ == "request-finished";
+    const bool sealed = seal != nullptr && seal->event_ == "request-finished";
+    if (owners || !sealed) {
+      seal = line;
+    }
+  }
+  return seal;
+}
+
+std::string
+Render(const LogLine& aLine)
+{
+  return aLine.time_ + " " + aLine.host_ + " " + aLine.text_ + "\n";
+}
+
+} // namespace
+
+std::optional<LogLine>
+ParseLogLine(std::string_view aLine, std::string_view aFile)
+{
+  const std::size_t level = aLine.find(kLevel);
+  const std::size_t event = aLine.find(kEvent);
+  if (level == std::string_view::npos || event == std::string_view::npos) {
+    return std::nullopt;
+  }
+  LogLine line;
+  const std::string_view head = aLine.substr(0, level);
+  const std::size_t space = head.rfind(' ');
+  const bool alone = space == std::string_view::npos;
+  line.time_ = head.substr(alone ? 0 : space + 1);
+  const auto at = ReadTime(line.time_);
+  if (!at) {
+    return std::nullopt;
+  }
+  line.atMs_ = *at;
+  const std::string_view front = alone ? "" : head.substr(0, space);
+  const std::size_t word = front.rfind(' ');
+  line.host_ = front.substr(word == std::string_view::npos ? 0 : word + 1);
+  if (line.host_.empty()) {
+    line.host_ = aFile;
+  }
+  line.text_ = aLine.substr(event + kEvent.size());
+  const std::size_t end = std::min(line.text_.find(' '), line.text_.size());
+  line.event_ = line.text_.substr(0, end);
+  ReadFields(
+    std::string_view(line.text_).substr(std::min(end + 1, line.text_.size())),
+    line);
+  return line;
+}
+
+std::string
+ExplainRequest(std::string_view aRequest, const std::vector<LogLine>& aLines)
+{
+  const Concerned concerned = FindConcerned(aRequest, aLines);
+  if (concerned.hosts_.empty()) {
+    return {};
+  }
+  std::vector<const LogLine*> told;
+  std::vector<const LogLine*> own;
+  for (const LogLine& line : aLines) {
+    const bool isOwn = IsOwn(line, aRequest, concerned);
+    if (isOwn) {
+      own.push_back(&line);
+    }
+    if (isOwn || IsBelief(line, concerned)) {
+      told.push_back(&line);
+    }
+  }
+  const auto earlier = [](const LogLine* aLeft, const LogLine* aRight) {
+    return aLeft->atMs_ < aRight->atMs_;
+  };
+  std::ranges::stable_sort(told, earlier);
+  std::ranges::stable_sort(own, earlier);
+  std::string text;
+  for (const LogLine* line : told) {
+    text += Render(*line);
+  }
+  const LogLine* seal = FindSeal(own);
+  text += "sealed by " + seal->host_ +
+          ": outcome=" + FieldOf(*seal, "outcome") +
+          " sqlstate=" + FieldOf(*seal, "sqlstate") +
+          " reason: " + FieldOf(*seal, "reason") + "\n";
+  return text;
+}
+
+} // namespace wigeonlb::ctl
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -42,6 +42,7 @@
   , ports_(std::move(aPorts))
   , boot_(MakeBoot())
   , metrics_(registry_)
+  , requestLog_(settings_.requestLines_, registry_)
 {
   traffic::TrafficCallbacks callbacks;
   callbacks.sendToPeer_ = [this](const foundation::HostId& aHost,
@@ -62,6 +63,7 @@
   recording::TraceRecorder* const trace =
     settings_.traceFile_.empty() ? nullptr : &recorder_;
   callbacks.trace_ = trace;
+  callbacks.log_ = &requestLog_;
   traffic_ = std::make_unique<traffic::TrafficRuntime>(settings_,
                                                        boot_,
                                                        metrics_,
--- a/apps/wigeonlbd/daemon.h
+++ b/apps/wigeonlbd/daemon.h
@@ -62,6 +62,7 @@
   std::uint64_t boot_;
   foundation::MetricsRegistry registry_;
   traffic::TrafficMetrics metrics_;
+  traffic::RequestLog requestLog_;
   recording::TraceRecorder recorder_;
   std::unique_ptr<control::ControlRuntime> control_;
   std::unique_ptr<traffic::TrafficRuntime> traffic_;
--- a/apps/wigeonlbd/daemonmain.cpp
+++ b/apps/wigeonlbd/daemonmain.cpp
@@ -14,6 +14,11 @@
 namespace {
 
 constexpr int kExitBadSettings = 2;
+
+//! Time for the last log lines at the end of the process, far below the time
+//! between a stop signal and a kill.
+constexpr foundation::Duration kLogEndMs = std::chrono::milliseconds(200);
+
 constexpr const char* kVersion = "wigeonlbd 0.1.0";
 
 cxxopts::Options
@@ -163,7 +168,16 @@
     return 0;
   }
   foundation::SetUpLogging(read.logLevel_);
-  return Serve(std::move(read), given, aPorts);
+  foundation::LogChange("daemon",
+                        "starting",
+                        { { "version", kVersion },
+                          { "host", read.hostId_ },
+                          { "data_centre", read.dataCentre_ } });
+  const int exitCode = Serve(std::move(read), given, aPorts);
+  if (!foundation::EndLogging(kLogEndMs)) {
+    std::_Exit(exitCode);
+  }
+  return exitCode;
 }
 
 } // namespace
--- a/apps/wigeonlbd/settings/daemonsettings.cpp
+++ b/apps/wigeonlbd/settings/daemonsettings.cpp
@@ -385,6 +385,13 @@
     "refused probes in a row after which the balancer sends no new callers; "
     "what waits for balancer-notice-ms goes on then; 0: not known",
     ReadCount<&S::balancerRefusals_, 0, 100> },
+  { "log-requests-per-s",
+    "WIGEONLB_LOG_REQUESTS_PER_S",
+    "50",
+    "lines/s",
+    "most log lines a second about requests that went wrong, four seconds of "
+    "them at once; what is left out is counted; 0: no bound",
+    ReadCount<&S::requestLines_, 0, 100'000> },
   { "promotion-address",
     "WIGEONLB_PROMOTION_ADDRESS",
     "",
--- a/apps/wigeonlbd/settings/daemonsettings.h
+++ b/apps/wigeonlbd/settings/daemonsettings.h
@@ -56,6 +56,7 @@
   foundation::Duration drainDeadline_{ 0 };
   foundation::Duration balancerNotice_{ 0 };
   std::uint32_t balancerRefusals_ = 0; //!< 0: not known
+  std::uint32_t requestLines_ = 0;     //!< of the log, a second
   std::string promotionAddress_;       //!< `ip:port`; empty: none
   std::string promotionHolder_;
   foundation::Duration heartbeatInterval_{ 0 };
--- /dev/null
+++ b/apps/wigeonlbd/tests/requestlog_tests.cpp
@@ -0,0 +1,72 @@
+#include <catch2/catch.hpp>
+
+#include "traffic/requestlog.h"
+
+namespace wigeonlb::daemon::traffic {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("a decision's line tells what is known", "[requestlog]")
+{
+  struct Row
+  {
+    RequestDecision decision_;
+    std::string line_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { { .event_ = RequestEvent::Answered,
+        .request_ = { "r1", "10.0.0.1", 7, 3 },
+        .group_ = "g",
+        .database_ = "d",
+        .outcome_ = wire::OUTCOME_NOT_RUN,
+        .sqlstate_ = "57P03",
+        .reason_ = "no owner",
+        .took_ = 12ms,
+        .aim_ = 200ms,
+        .revision_ = 41 },
+      "event=request-answered request=r1 session=10.0.0.1/7 attempt=3 group=g "
+      "database=d outcome=not_run sqlstate=57P03 reason=\"no owner\" "
+      "took_ms=12 aim_ms=200 revision=41" },
+    { { .event_ = RequestEvent::Finished,
+        .request_ = { "", "10.0.0.1", 7, 3 },
+        .group_ = "g",
+        .outcome_ = wire::OUTCOME_UNKNOWN,
+        .sqlstate_ = "08007",
+        .target_ = "a",
+        .floor_ = { 2, 9 },
+        .took_ = 3ms,
+        .grantTerm_ = 2,
+        .grantLeft_ = 640ms,
+        .queued_ = 5,
+        .newest_ = { 2, 11 },
+        .newestAge_ = 30ms },
+      "event=request-finished session=10.0.0.1/7 attempt=3 group=g "
+      "outcome=unknown sqlstate=08007 target=a floor=2/9 took_ms=3 "
+      "grant_term=2 grant_left_ms=640 queued=5 newest=2/11 "
+      "newest_age_ms=30" },
+  }));
+  CHECK(foundation::FormatLogLine(EventName(row.decision_.event_),
+                                  FieldsOf(row.decision_)) == row.line_);
+}
+
+TEST_CASE("lines past the bound are counted", "[requestlog]")
+{
+  struct Row
+  {
+    std::uint64_t bound_;
+    std::uint64_t leftOut_; //!< of 100 at once
+  };
+  const auto row = GENERATE(values<Row>({ { 0, 0 }, { 10, 60 }, { 50, 0 } }));
+  foundation::MetricsRegistry registry;
+  RequestLog log(row.bound_, registry);
+  const foundation::Instant now = foundation::SteadyNow();
+  for (int i = 0; i < 100; ++i) {
+    log.Write({ .request_ = { "r", "h", 1, 1 } }, now);
+  }
+  CHECK(registry
+          .Counter("wigeonlb_log_lines_left_out_total",
+                   { { "event", EventName(RequestEvent::Answered) } })
+          .Value() == row.leftOut_);
+}
+
+} // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -22,13 +22,6 @@
 
 constexpr std::string_view kServerVersion = "15.0 (wigeonlb)";
 
-std::string
-RetryText(Duration aRetryAfter)
-{
-  return "retry after " +
-         std::to_string(foundation::ToMilliseconds(aRetryAfter)) + " ms";
-}
-
 } // namespace
 
 EntrySession::EntrySession(EntryContext& aContext,
@@ -291,6 +284,8 @@
   }
   if (aEnd.not_owner()) {
     refusal_ = aEnd.message();
+    Log(RequestEvent::HandedOn,
+        { .outcome_ = aEnd.outcome(), .reason_ = refusal_ });
     HandOver();
     return;
   }
@@ -329,57 +324,6 @@
   caller_->Send(std::move(frames));
 }
 
-void
-EntrySession::AnswerOutcome(const wire::ForwardEnd& aEnd)
-{
-  if (!aEnd.target_answered() && aEnd.outcome() == wire::OUTCOME_DONE) {
-    // The owner ended a transaction that no target had to be asked about.
-    const bool committed =
-      request_.statement_class() == wire::STATEMENT_COMMIT &&
-      status_ != caller::TransactionStatus::Failed;
-    std::string frames;
-    context_.protocol_->appendOwnComplete_(frames,
-                                           committed ? "COMMIT" : "ROLLBACK");
-    caller_->Send(std::move(frames));
-  } else if (!aEnd.target_answered()) {
-    const bool notRun = aEnd.outcome() == wire::OUTCOME_NOT_RUN;
-    SendError({ aEnd.sqlstate(),
-                aEnd.message(),
-                notRun ? RetryText(Duration(aEnd.retry_after_us())) : "" });
-  }
-  Record(aEnd.outcome(), aEnd.by_replica());
-  const char status =
-    aEnd.transaction_status().empty() ? 'I' : aEnd.transaction_status()[0];
-  FinishAnswer(status);
-}
-
-void
-EntrySession::FinishAnswer(char aStatus)
-{
-  waiting_ = false;
-  deadlineTimer_.cancel();
-  status_ = static_cast<caller::TransactionStatus>(aStatus);
-  if (status_ == caller::TransactionStatus::Idle) {
-    transactionOwner_.clear();
-  } else {
-    transactionOwner_ = owner_;
-  }
-  caller_->FinishQuery(status_);
-}
-
-void
-EntrySession::SendError(const Verdict& aVerdict)
-{
-  std::string frames;
-  context_.protocol_->appendError_(frames,
-                                   { "ERROR",
-                                     std::string(aVerdict.sqlstate_),
-                                     aVerdict.message_,
-                                     aVerdict.detail_,
-                                     "" });
-  caller_->Send(std::move(frames));
-}
-
 void
 EntrySession::FailLocally(const Verdict& aVerdict)
 {
@@ -387,16 +331,6 @@
   caller_->FinishQuery(status_);
 }
 
-void
-EntrySession::GiveUp(const Verdict& aVerdict)
-{
-  Record(aVerdict.sqlstate_ == sqlstates::kNotRun ? wire::OUTCOME_NOT_RUN
-                                                  : wire::OUTCOME_UNKNOWN,
-         false);
-  SendError(aVerdict);
-  FinishAnswer('I');
-}
-
 void
 EntrySession::OnDeadline()
 {
@@ -433,12 +367,11 @@
   if (!waiting_ || owner_ != aHost) {
     return;
   }
-  if (IsRead() && piecesSeen_ == 0) {
-    HandOver();
-    return;
-  }
-  if (request_.statement_class() == wire::STATEMENT_BEGIN ||
-      request_.statement_class() == wire::STATEMENT_BEGIN_READ) {
+  const bool begins = request_.statement_class() == wire::STATEMENT_BEGIN ||
+                      request_.statement_class() == wire::STATEMENT_BEGIN_READ;
+  if (begins || (IsRead() && piecesSeen_ == 0)) {
+    Log(RequestEvent::HandedOn,
+        { .outcome_ = wire::OUTCOME_UNKNOWN, .reason_ = "the owner was lost" });
     HandOver();
     return;
   }
@@ -478,15 +411,4 @@
   (void)context_.port_->SendForward(aOwner, std::move(message));
 }
 
-void
-EntrySession::Record(wire::Outcome aOutcome, bool aByReplica)
-{
-  context_.metrics_->Record({ group_,
-                              tenant_,
-                              IsRead(),
-                              aByReplica,
-                              aOutcome,
-                              SteadyNow() - startedAt_ });
-}
-
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -12,6 +12,7 @@
 #include "forward.pb.h"
 #include "foundation/clock.h"
 #include "traffic/forwardport.h"
+#include "traffic/requestlog.h"
 #include "traffic/routingtable.h"
 #include "traffic/sessionsettings.h"
 #include "traffic/trafficmetrics.h"
@@ -29,9 +30,14 @@
   const caller::Protocol* protocol_ = &caller::PostgresqlProtocol();
   core::classification::ClassificationCache* cache_ = nullptr;
   TrafficMetrics* metrics_ = nullptr;
+  RequestLog* log_ = nullptr; //!< none: nothing is logged
   RoutingTablePointer routes_;
 };
 
+//! When to come back, as callers are told.
+std::string
+RetryText(foundation::Duration aRetryAfter);
+
 //! One caller's session at its entry host: classifies statements, keeps the
 //! session's floors, hands requests to an owner of the group and their answers
 //! to the caller. Used on one traffic thread.
@@ -78,6 +84,15 @@
     std::string message_;
     std::string detail_;
   };
+  //! How a request ended, for the counters and the log.
+  struct Ending
+  {
+    wire::Outcome outcome_ = wire::OUTCOME_DONE;
+    bool byReplica_ = false;
+    std::string_view sqlstate_; //!< of an answer that was made up
+    std::string_view reason_;
+    std::string_view target_;
+  };
 
   void AnswerSetting(const core::classification::OwnSetting& aSetting);
   //! What a statement does to the session's state; true when it was answered
@@ -108,7 +123,9 @@
   foundation::Duration TimeLeft() const;
   bool IsRead() const;
   std::string_view LostSqlstate() const;
-  void Record(wire::Outcome aOutcome, bool aByReplica);
+  void Record(const Ending& aEnding);
+  //! Logs a decision about the present request.
+  void Log(RequestEvent aEvent, const Ending& aEnding);
 
   EntryContext& context_;
   boost::intrusive_ptr<caller::CallerSession> caller_;
--- a/apps/wigeonlbd/traffic/ownedsessions.cpp
+++ b/apps/wigeonlbd/traffic/ownedsessions.cpp
@@ -76,6 +76,7 @@
     return false;
   }
   aSession.request_ = std::move(aRequest);
+  aSession.arrivedAt_ = foundation::SteadyNow();
   aSession.running_ = true;
   aSession.heldEnd_.clear();
   aSession.passedBytes_ = 0;
--- a/apps/wigeonlbd/traffic/ownedsessions.h
+++ b/apps/wigeonlbd/traffic/ownedsessions.h
@@ -23,6 +23,7 @@
   SessionKey key_;
   core::traffic::SessionId id_ = 0;
   wire::ForwardRequest request_; //!< the present or last one
+  foundation::Instant arrivedAt_;
   bool running_ = false;
   bool inTransaction_ = false;
   std::string heldEnd_; //!< end of the target's answer, until Finish
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -425,6 +425,7 @@
   }
   session->running_ = false;
   session->inTransaction_ = aAction.transactionStatus_ != 'I';
+  Log(*session, aAction);
   wire::PeerMessage message;
   *message.mutable_forward_end() = MakeEnd(*session, aAction);
   // A host that can't be reached any more closes its sessions by OnHostLost.
@@ -432,6 +433,38 @@
   session->request_.clear_statement();
 }
 
+void
+OwnerGroup::Log(const OwnedSession& aSession,
+                const core_traffic::Finish& aFinish)
+{
+  if (settings_.log_ == nullptr || aFinish.sqlstate_.empty() ||
+      aFinish.passTargetAnswer_) {
+    return;
+  }
+  const foundation::Instant now = foundation::SteadyNow();
+  const auto standing = core_traffic::StandingOf(state_, now);
+  const wire::ForwardRequest& request = aSession.request_;
+  RequestDecision decision;
+  decision.event_ = RequestEvent::Finished;
+  decision.request_ = { request.statement_id(),
+                        std::get<0>(aSession.key_),
+                        std::get<2>(aSession.key_),
+                        request.request() };
+  decision.group_ = settings_.group_;
+  decision.outcome_ = aFinish.outcome_;
+  decision.sqlstate_ = aFinish.sqlstate_;
+  decision.reason_ = aFinish.message_;
+  decision.target_ = aFinish.servedBy_;
+  decision.floor_ = { request.floor().term(), request.floor().offset() };
+  decision.took_ = now - aSession.arrivedAt_;
+  decision.grantTerm_ = standing.grantTerm_;
+  decision.grantLeft_ = standing.grantLeft_;
+  decision.queued_ = standing.queued_;
+  decision.newest_ = standing.newest_;
+  decision.newestAge_ = standing.newestAge_;
+  settings_.log_->Write(decision, now);
+}
+
 void
 OwnerGroup::Execute(const core_traffic::CancelOnTarget& aAction)
 {
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -15,6 +15,7 @@
 #include "traffic/groupconnection.h"
 #include "traffic/ownedsessions.h"
 #include "traffic/requestkeyexpiry.h"
+#include "traffic/requestlog.h"
 #include "traffic/sessionends.h"
 
 namespace wigeonlb::daemon::traffic {
@@ -40,6 +41,7 @@
   OwnerProtocols protocols_;
   core::traffic::Settings traffic_;
   recording::TraceRecorder* trace_ = nullptr; //!< none: nothing is recorded
+  RequestLog* log_ = nullptr;                 //!< none: nothing is logged
 };
 
 //! Drives the traffic state machine of one group: turns forward messages and
@@ -109,6 +111,8 @@
   void Execute(const core::traffic::SendProbe& aAction);
   void Execute(const core::traffic::ResetProbe& aAction);
   void Execute(const core::traffic::Finish& aAction);
+  //! Logs an outcome that this owner decided.
+  void Log(const OwnedSession& aSession, const core::traffic::Finish& aFinish);
   void Execute(const core::traffic::CancelOnTarget& aAction);
   void Execute(const core::traffic::Released& aAction);
 
--- /dev/null
+++ b/apps/wigeonlbd/traffic/requestlog.cpp
@@ -0,0 +1,156 @@
+#include "traffic/requestlog.h"
+
+namespace wigeonlb::daemon::traffic {
+
+namespace {
+
+using foundation::Duration;
+using foundation::LogField;
+using foundation::LogPosition;
+
+//! Seconds of lines at the full rate that may come at once, as the failure of a
+//! primary or a link ends many requests together.
+constexpr std::uint64_t kBurstSeconds = 4;
+
+std::string
+MillisecondsText(Duration aDuration)
+{
+  return std::to_string(foundation::ToMilliseconds(aDuration));
+}
+
+void
+AddText(std::vector<LogField>& aFields,
+        std::string_view aKey,
+        std::string_view aValue)
+{
+  if (!aValue.empty()) {
+    aFields.emplace_back(aKey, std::string(aValue));
+  }
+}
+
+void
+AddPosition(std::vector<LogField>& aFields,
+            std::string_view aKey,
+            const LogPosition& aPosition)
+{
+  if (aPosition.term_ != 0) {
+    aFields.emplace_back(aKey, foundation::ToString(aPosition));
+  }
+}
+
+void
+AddOwnersView(std::vector<LogField>& aFields, const RequestDecision& aDecision)
+{
+  if (aDecision.grantTerm_) {
+    aFields.emplace_back("grant_term", std::to_string(*aDecision.grantTerm_));
+    aFields.emplace_back("grant_left_ms",
+                         MillisecondsText(aDecision.grantLeft_));
+  }
+  if (aDecision.queued_) {
+    aFields.emplace_back("queued", std::to_string(*aDecision.queued_));
+  }
+  AddPosition(aFields, "newest", aDecision.newest_);
+  if (aDecision.newestAge_) {
+    aFields.emplace_back("newest_age_ms",
+                         MillisecondsText(*aDecision.newestAge_));
+  }
+}
+
+} // namespace
+
+std::string_view
+EventName(RequestEvent aEvent)
+{
+  switch (aEvent) {
+    case RequestEvent::Answered:
+      return "request-answered";
+    case RequestEvent::HandedOn:
+      return "request-handed-on";
+    case RequestEvent::Finished:
+      return "request-finished";
+  }
+  return "";
+}
+
+std::string_view
+OutcomeName(wire::Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case wire::OUTCOME_DONE:
+      return "done";
+    case wire::OUTCOME_NOT_RUN:
+      return "not_run";
+    case wire::OUTCOME_UNKNOWN:
+      return "unknown";
+    default:
+      return "failed";
+  }
+}
+
+std::vector<LogField>
+FieldsOf(const RequestDecision& aDecision)
+{
+  const RequestName& request = aDecision.request_;
+  std::vector<LogField> fields;
+  AddText(fields, "request", request.id_);
+  fields.emplace_back("session",
+                      std::string(request.entryHost_) + "/" +
+                        std::to_string(request.session_));
+  fields.emplace_back("attempt", std::to_string(request.number_));
+  AddText(fields, "group", aDecision.group_);
+  AddText(fields, "database", aDecision.database_);
+  fields.emplace_back("outcome", std::string(OutcomeName(aDecision.outcome_)));
+  AddText(fields, "sqlstate", aDecision.sqlstate_);
+  AddText(fields, "reason", aDecision.reason_);
+  AddText(fields, "owner", aDecision.owner_);
+  AddText(fields, "target", aDecision.target_);
+  AddPosition(fields, "floor", aDecision.floor_);
+  fields.emplace_back("took_ms", MillisecondsText(aDecision.took_));
+  if (aDecision.aim_) {
+    fields.emplace_back("aim_ms", MillisecondsText(*aDecision.aim_));
+  }
+  if (aDecision.revision_) {
+    fields.emplace_back("revision", std::to_string(*aDecision.revision_));
+  }
+  AddOwnersView(fields, aDecision);
+  return fields;
+}
+
+RequestLog::RequestLog(std::uint64_t aLinesPerSecond,
+                       foundation::MetricsRegistry& aRegistry)
+  : registry_(aRegistry)
+  , budget_(foundation::MakeTokenBucket(aLinesPerSecond,
+                                        kBurstSeconds * aLinesPerSecond,
+                                        foundation::SteadyNow()))
+{
+}
+
+void
+RequestLog::Write(const RequestDecision& aDecision, foundation::Instant aNow)
+{
+  const std::lock_guard lock(mutex_);
+  const std::string_view event = EventName(aDecision.event_);
+  if (!foundation::TryCharge(budget_, 1, aNow)) {
+    ++leftOut_[event];
+    registry_
+      .Counter("wigeonlb_log_lines_left_out_total", { { "event", event } })
+      .Add(1);
+    return;
+  }
+  TellLeftOut();
+  foundation::LogChange("request", event, FieldsOf(aDecision));
+}
+
+void
+RequestLog::TellLeftOut()
+{
+  for (const auto& [event, count] : leftOut_) {
+    foundation::LogChange(
+      "request",
+      "request-lines-left-out",
+      { { "of", std::string(event) }, { "count", std::to_string(count) } });
+  }
+  leftOut_.clear();
+}
+
+} // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/trafficmetrics.cpp
+++ b/apps/wigeonlbd/traffic/trafficmetrics.cpp
@@ -1,24 +1,11 @@
 #include "traffic/trafficmetrics.h"
 
+#include "traffic/requestlog.h"
+
 namespace wigeonlb::daemon::traffic {
 
 namespace {
 
-std::string_view
-OutcomeName(wire::Outcome aOutcome)
-{
-  switch (aOutcome) {
-    case wire::OUTCOME_DONE:
-      return "done";
-    case wire::OUTCOME_NOT_RUN:
-      return "not_run";
-    case wire::OUTCOME_UNKNOWN:
-      return "unknown";
-    default:
-      return "failed";
-  }
-}
-
 std::string_view
 KindName(const StatementRecord& aRecord)
 {
@@ -45,6 +32,14 @@
                { "kind", KindName(aRecord) },
                { "outcome", OutcomeName(aRecord.outcome_) } })
     .Add(1);
+  if (!aRecord.sqlstate_.empty()) {
+    registry_
+      .Counter("wigeonlb_refusals_total",
+               { { "database", aRecord.database_ },
+                 { "outcome", OutcomeName(aRecord.outcome_) },
+                 { "sqlstate", aRecord.sqlstate_ } })
+      .Add(1);
+  }
   registry_
     .Histogram("wigeonlb_statement_seconds",
                { { "group", aRecord.group_ },
--- a/apps/wigeonlbd/traffic/trafficmetrics.h
+++ b/apps/wigeonlbd/traffic/trafficmetrics.h
@@ -12,10 +12,12 @@
 struct StatementRecord
 {
   std::string_view group_;
+  std::string_view database_;
   std::string_view tenant_;
   bool isRead_ = false;
   bool byReplica_ = false;
   wire::Outcome outcome_ = wire::OUTCOME_DONE;
+  std::string_view sqlstate_; //!< of an answer that this system made up
   foundation::Duration took_{ 0 };
 };
 
--- a/apps/wigeonlbd/traffic/trafficruntime.cpp
+++ b/apps/wigeonlbd/traffic/trafficruntime.cpp
@@ -24,6 +24,7 @@
   shard.entry_.statementDeadline_ = aSettings.statementDeadline_;
   shard.entry_.port_ = this;
   shard.entry_.metrics_ = &aMetrics;
+  shard.entry_.log_ = callbacks_.log_;
   shard.cachedStatements_ = aSettings.cachedStatements_;
   shard.login_ = { aSettings.targetUser_,
                    target::ApplicationName(aSettings.hostId_, aBoot) };
--- a/apps/wigeonlbd/traffic/trafficruntime.h
+++ b/apps/wigeonlbd/traffic/trafficruntime.h
@@ -32,6 +32,7 @@
   std::function<void(const foundation::GroupName&, std::uint32_t)>
     onConnections_;
   recording::TraceRecorder* trace_ = nullptr; //!< none: nothing is recorded
+  RequestLog* log_ = nullptr;                 //!< none: nothing is logged
 };
 
 //! The traffic threads: callers' sessions, owner groups, and the way between
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -244,6 +244,7 @@
     settings.traffic_.seed_ =
       settings_.seed_ + std::hash<std::string>()(aGroup);
     settings.trace_ = settings_.trace_;
+    settings.log_ = entry_.log_;
     owner = std::make_unique<OwnerGroup>(
       io_, std::move(settings), *entry_.port_, listener_);
   }
--- a/packages/core/traffic/internal/reads.cpp
+++ b/packages/core/traffic/internal/reads.cpp
@@ -94,8 +94,7 @@
   const Instant arrived = aRequest.arrivedAt_;
   return aRequest.aimAt_
            ? arrived + (*aRequest.aimAt_ - arrived) / kAimPartBeforeHelp
-           : arrived +
-               (aRequest.deadline_ - arrived) / kDeadlinePartBeforeHelp;
+           : arrived + (aRequest.deadline_ - arrived) / kDeadlinePartBeforeHelp;
 }
 
 // Replicas are eligible but busy: the primary helps out only when the aim or
--- a/packages/core/traffic/tests/load_tests.cpp
+++ b/packages/core/traffic/tests/load_tests.cpp
@@ -231,8 +231,8 @@
                                .readShare_ = 0.85,
                                .deadline_ = 800ms,
                                .aim_ = 400ms });
-  const double share = static_cast<double>(outcome.inAim_) /
-                       static_cast<double>(outcome.asked_);
+  const double share =
+    static_cast<double>(outcome.inAim_) / static_cast<double>(outcome.asked_);
   std::cout << "one replica,load," << row.perSecond_ << ",in_aim," << share
             << ",by_replica,"
             << static_cast<double>(outcome.byReplica_) /
--- a/packages/core/traffic/trafficstate.cpp
+++ b/packages/core/traffic/trafficstate.cpp
@@ -232,4 +232,19 @@
   return gauges;
 }
 
+GroupStanding
+StandingOf(const TrafficState& aState, Instant aNow)
+{
+  const auto& group = *aState.group_;
+  GroupStanding standing;
+  if (group.grant_) {
+    standing.grantTerm_ = group.grant_->term_;
+    standing.grantLeft_ = group.grant_->expires_ - aNow;
+  }
+  standing.queued_ = CollectGauges(aState).queued_;
+  standing.newest_ = routing::NewestPosition(group.samples_);
+  standing.newestAge_ = routing::AgeAt(group.samples_, standing.newest_, aNow);
+  return standing;
+}
+
 } // namespace wigeonlb::core::traffic
--- a/packages/core/traffic/trafficstate.h
+++ b/packages/core/traffic/trafficstate.h
@@ -102,4 +102,17 @@
 TrafficGauges
 CollectGauges(const TrafficState& aState);
 
+//! What an owner knows when it decides about a request; for the log.
+struct GroupStanding
+{
+  std::optional<std::uint64_t> grantTerm_; //!< empty: it holds no grant
+  Duration grantLeft_{ 0 };
+  std::size_t queued_ = 0;
+  LogPosition newest_; //!< position of the primary; term 0: none is known
+  std::optional<Duration> newestAge_;
+};
+
+GroupStanding
+StandingOf(const TrafficState& aState, Instant aNow);
+
 } // namespace wigeonlb::core::traffic
--- a/packages/foundation/logging.cpp
+++ b/packages/foundation/logging.cpp
@@ -1,8 +1,11 @@
 #include "foundation/logging.h"
 
+#include <future>
 #include <iomanip>
 #include <sstream>
+#include <thread>
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
@@ -48,19 +51,40 @@
     }
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
       LOG4CXX_STR("%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p module=%c %m%n"));
-    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(
       layout, log4cxx::ConsoleAppender::getSystemOut());
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(kQueuedLogLines);
+    queue->setBlocking(false);
+    queue->addAppender(console);
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(appender);
+    root->addAppender(queue);
     root->setLevel(level);
     return true;
   }
   return false;
 }
 
+bool
+EndLogging(Duration aLimit)
+{
+  std::promise<void> written;
+  std::future<void> done = written.get_future();
+  std::thread writer([written = std::move(written)]() mutable {
+    log4cxx::Logger::getRootLogger()->removeAllAppenders();
+    written.set_value();
+  });
+  if (done.wait_for(aLimit) != std::future_status::ready) {
+    writer.detach();
+    return false;
+  }
+  writer.join();
+  return true;
+}
+
 std::string
-FormatLogLine(std::string_view aEvent, std::initializer_list<LogField> aFields)
+FormatLogLine(std::string_view aEvent, std::span<const LogField> aFields)
 {
   std::ostringstream line;
   line << "event=" << aEvent;
@@ -79,6 +103,14 @@
 LogChange(std::string_view aModule,
           std::string_view aEvent,
           std::initializer_list<LogField> aFields)
+{
+  LogChange(aModule, aEvent, std::span(aFields.begin(), aFields.size()));
+}
+
+void
+LogChange(std::string_view aModule,
+          std::string_view aEvent,
+          std::span<const LogField> aFields)
 {
   LOG4CXX_INFO(ModuleLogger(aModule), FormatLogLine(aEvent, aFields));
 }
@@ -88,7 +120,9 @@
            std::string_view aEvent,
            std::initializer_list<LogField> aFields)
 {
-  LOG4CXX_WARN(ModuleLogger(aModule), FormatLogLine(aEvent, aFields));
+  LOG4CXX_WARN(
+    ModuleLogger(aModule),
+    FormatLogLine(aEvent, std::span(aFields.begin(), aFields.size())));
 }
 
 } // namespace wigeonlb::foundation
--- a/packages/foundation/tests/findings_tests.cpp
+++ b/packages/foundation/tests/findings_tests.cpp
@@ -26,7 +26,8 @@
     { "two words", "event=joined host=\"two words\"" },
     { "", "event=joined host=\"\"" },
   }));
-  CHECK(FormatLogLine("joined", { { "host", row.value_ } }) == row.line_);
+  const LogField fields[] = { { "host", row.value_ } };
+  CHECK(FormatLogLine("joined", fields) == row.line_);
 }
 
 } // namespace wigeonlb::foundation
--- /dev/null
+++ b/packages/foundation/tests/logging_tests.cpp
@@ -0,0 +1,109 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <thread>
+
+#include <unistd.h>
+
+#include "foundation/logging.h"
+
+namespace wigeonlb::foundation {
+
+namespace {
+
+constexpr Duration kLimit = std::chrono::seconds(20);
+
+//! Standard output as a pipe, until destroyed.
+class PipedOutput
+{
+public:
+  PipedOutput()
+  {
+    REQUIRE(::pipe(ends_) == 0);
+    saved_ = ::dup(STDOUT_FILENO);
+    REQUIRE(::dup2(ends_[1], STDOUT_FILENO) >= 0);
+    ::close(ends_[1]);
+  }
+  ~PipedOutput()
+  {
+    Restore();
+    ::close(ends_[0]);
+  }
+  PipedOutput(const PipedOutput&) = delete;
+  PipedOutput& operator=(const PipedOutput&) = delete;
+
+  void Restore()
+  {
+    if (saved_ >= 0) {
+      ::dup2(saved_, STDOUT_FILENO);
+      ::close(saved_);
+      saved_ = -1;
+    }
+  }
+
+  //! Reads up to what is looked for, or to the end of the output.
+  std::string Read(std::string_view aUpTo = "")
+  {
+    std::string text;
+    char chunk[65536];
+    ssize_t got = 1;
+    while (got > 0 && (aUpTo.empty() || text.find(aUpTo) == text.npos)) {
+      got = ::read(ends_[0], chunk, sizeof chunk);
+      text.append(chunk, static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+    }
+    return text;
+  }
+
+private:
+  int ends_[2] = { -1, -1 };
+  int saved_ = -1;
+};
+
+} // namespace
+
+TEST_CASE("whoever logs never waits for whoever reads", "[logging]")
+{
+  struct Row
+  {
+    int lines_;
+    bool leavesOut_;
+  };
+  const auto row =
+    GENERATE(values<Row>({ { 100, false }, { 20 * kQueuedLogLines, true } }));
+  std::string text;
+  bool ended = false;
+  {
+    PipedOutput output;
+    REQUIRE(SetUpLogging("info"));
+    // Nobody reads meanwhile.
+    for (int i = 0; i < row.lines_; ++i) {
+      LogChange("test", "counted", { { "number", std::to_string(i) } });
+    }
+    std::thread reader([&] { text = output.Read(); });
+    ended = EndLogging(kLimit);
+    output.Restore();
+    reader.join();
+  }
+  CHECK(ended);
+  CHECK(text.find("event=counted number=0") != std::string::npos);
+  const std::string last = "number=" + std::to_string(row.lines_ - 1);
+  const bool whole = text.find(last) != std::string::npos;
+  const bool told = text.find("Discarded") != std::string::npos;
+  CHECK((whole || told));
+  CHECK(told == row.leavesOut_);
+}
+
+TEST_CASE("a process ends although nobody reads its log", "[logging]")
+{
+  PipedOutput output;
+  REQUIRE(SetUpLogging("info"));
+  for (int i = 0; i < 20 * kQueuedLogLines; ++i) {
+    LogChange("test", "counted", { { "number", std::to_string(i) } });
+  }
+  CHECK_FALSE(EndLogging(std::chrono::milliseconds(100)));
+  // The writer goes on to its last line once there is a reader.
+  CHECK(output.Read("Discarded").find("Discarded") != std::string::npos);
+}
+
+} // namespace wigeonlb::foundation
--- a/packages/peer/tests/tokenbucket_tests.cpp
+++ b/packages/foundation/tests/tokenbucket_tests.cpp
@@ -1,10 +1,8 @@
 #include <catch2/catch.hpp>
 
-#include "peer/internal/tokenbucket.h"
+#include "foundation/tokenbucket.h"
 
-namespace wigeonlb::peer {
-
-using foundation::Instant;
+namespace wigeonlb::foundation {
 
 TEST_CASE("a bucket passes its burst, then its rate", "[tokenbucket]")
 {
@@ -45,4 +43,4 @@
   CHECK(TryCharge(bucket, 1000000, Instant{}));
 }
 
-} // namespace wigeonlb::peer
+} // namespace wigeonlb::foundation
--- a/packages/peer/internal/tokenbucket.cpp
+++ b/packages/foundation/tokenbucket.cpp
@@ -1,13 +1,13 @@
-#include "peer/internal/tokenbucket.h"
+#include "foundation/tokenbucket.h"
 
 #include <algorithm>
 
-namespace wigeonlb::peer {
+namespace wigeonlb::foundation {
 
 namespace {
 
 void
-Fill(TokenBucket& aBucket, foundation::Instant aNow)
+Fill(TokenBucket& aBucket, Instant aNow)
 {
   const std::chrono::duration<double> elapsed = aNow - aBucket.filledAt_;
   if (elapsed.count() <= 0) {
@@ -22,36 +22,34 @@
 } // namespace
 
 TokenBucket
-MakeTokenBucket(std::uint64_t aRate,
-                std::uint64_t aBurst,
-                foundation::Instant aNow)
+MakeTokenBucket(std::uint64_t aRate, std::uint64_t aBurst, Instant aNow)
 {
   return { aRate, aBurst, static_cast<double>(aBurst), aNow };
 }
 
 void
-Charge(TokenBucket& aBucket, std::uint64_t aBytes, foundation::Instant aNow)
+Charge(TokenBucket& aBucket, std::uint64_t aUnits, Instant aNow)
 {
   Fill(aBucket, aNow);
-  aBucket.level_ -= static_cast<double>(aBytes);
+  aBucket.level_ -= static_cast<double>(aUnits);
   // Debt of steady traffic is bounded, so that snapshots still pass one day.
   aBucket.level_ =
     std::max(aBucket.level_, -static_cast<double>(aBucket.burst_));
 }
 
 bool
-TryCharge(TokenBucket& aBucket, std::uint64_t aBytes, foundation::Instant aNow)
+TryCharge(TokenBucket& aBucket, std::uint64_t aUnits, Instant aNow)
 {
   if (aBucket.rate_ == 0) {
     return true;
   }
   Fill(aBucket, aNow);
-  const double wanted = static_cast<double>(std::min(aBytes, aBucket.burst_));
+  const double wanted = static_cast<double>(std::min(aUnits, aBucket.burst_));
   if (aBucket.level_ < wanted) {
     return false;
   }
-  aBucket.level_ -= static_cast<double>(aBytes);
+  aBucket.level_ -= static_cast<double>(aUnits);
   return true;
 }
 
-} // namespace wigeonlb::peer
+} // namespace wigeonlb::foundation
--- a/packages/peer/internal/link.h
+++ b/packages/peer/internal/link.h
@@ -10,9 +10,9 @@
 #include <tbb/concurrent_queue.h>
 #include <zmq.hpp>
 
+#include "foundation/tokenbucket.h"
 #include "peer/internal/messageclass.h"
 #include "peer/internal/pingstate.h"
-#include "peer/internal/tokenbucket.h"
 #include "peer/peerlinks.h"
 
 namespace wigeonlb::peer {
@@ -119,7 +119,7 @@
   //! somebody waiting for an answer.
   foundation::Duration ridingAge_;
   foundation::Duration idleRidingAge_;
-  TokenBucket* budget_;
+  foundation::TokenBucket* budget_;
 };
 
 //! Sends what waits, control first, until the socket has no room.
--- a/packages/peer/internal/linkthread.cpp
+++ b/packages/peer/internal/linkthread.cpp
@@ -94,7 +94,7 @@
   if (wakeFd_ < 0) {
     return { errno, std::system_category() };
   }
-  budget_ = MakeTokenBucket(
+  budget_ = foundation::MakeTokenBucket(
     settings_.controlRate_, settings_.controlBurst_, SteadyNow());
   thread_ = std::thread([this] { Run(); });
   return {};
--- a/packages/peer/internal/linkthread.h
+++ b/packages/peer/internal/linkthread.h
@@ -89,7 +89,7 @@
   foundation::Duration idleInterval_{ 0 };
   foundation::Instant nextCheck_{};
   BusyWindow busyWindow_;
-  TokenBucket budget_;
+  foundation::TokenBucket budget_;
 };
 
 } // namespace wigeonlb::peer
