--- a/packages/core/configuration/applyrecord.cpp
+++ b/packages/core/configuration/applyrecord.cpp
@@ -5,6 +5,7 @@
 
 #include "core/configuration/internal/changedraft.h"
 #include "core/configuration/internal/decisions.h"
+#include "core/configuration/internal/removeif.h"
 
 namespace wigeonlb::core::configuration {
 
@@ -33,13 +34,8 @@
 void
 ForgetDrop(wire::ControlState& aState, const std::string& aGroup)
 {
-  auto& dropped = *aState.mutable_dropped_groups();
-  dropped.erase(std::remove_if(dropped.begin(),
-                               dropped.end(),
-                               [&](const wire::DroppedGroup& aDropped) {
-                                 return aDropped.group() == aGroup;
-                               }),
-                dropped.end());
+  RemoveIf(*aState.mutable_dropped_groups(),
+           [&](const auto& aDropped) { return aDropped.group() == aGroup; });
 }
 
 void
@@ -96,13 +92,8 @@
 void
 ForgetDroppedDatabase(wire::ControlState& aState, const std::string& aName)
 {
-  auto& dropped = *aState.mutable_dropped_databases();
-  dropped.erase(std::remove_if(dropped.begin(),
-                               dropped.end(),
-                               [&](const wire::DroppedDatabase& aDropped) {
-                                 return aDropped.database() == aName;
-                               }),
-                dropped.end());
+  RemoveIf(*aState.mutable_dropped_databases(),
+           [&](const auto& aDropped) { return aDropped.database() == aName; });
 }
 
 //! Databases that stay as they are keep their revision, so that hosts are told
--- a/packages/core/configuration/internal/decisions.cpp
+++ b/packages/core/configuration/internal/decisions.cpp
@@ -1,10 +1,9 @@
 #include "core/configuration/internal/decisions.h"
 
-#include <algorithm>
-
 #include <google/protobuf/util/message_differencer.h>
 
 #include "core/configuration/applyrecord.h"
+#include "core/configuration/internal/removeif.h"
 
 namespace wigeonlb::core::configuration {
 
@@ -26,13 +25,8 @@
 void
 RemoveTarget(wire::GroupState& aGroup, const std::string& aTarget)
 {
-  auto& targets = *aGroup.mutable_targets();
-  targets.erase(std::remove_if(targets.begin(),
-                               targets.end(),
-                               [&](const wire::TargetState& aState) {
-                                 return aState.target() == aTarget;
-                               }),
-                targets.end());
+  RemoveIf(*aGroup.mutable_targets(),
+           [&](const auto& aState) { return aState.target() == aTarget; });
 }
 
 // Highest term that was ever chosen and is still known.
