Requests carry the number of their transaction; owners log when it differs

A request now says which request began its transaction (`transaction`, 0 for none; absent from older hosts). An owner that has another one open writes `transaction-differs` with both numbers, the target's connection, and how long that transaction has been open and idle; request-answered, -handed-on and -finished give the number, too. Decisions are as before.

--- a/apps/wigeonctl/explain.cpp
+++ b/apps/wigeonctl/explain.cpp
@@ -164,12 +164,15 @@
 }
 
 //! Finds the line that determined the outcome: the last decision of an owner,
-//! or, without one, that of the entry host.
+//! or, without one, that of the entry host. Null if no line has an outcome.
 const LogLine*
 FindDecidingLine(const std::vector<const LogLine*>& aRequestLines)
 {
   const LogLine* deciding = nullptr;
   for (const LogLine* line : aRequestLines) {
+    if (GetField(*line, "outcome").empty()) {
+      continue;
+    }
     const bool isOwnersDecision = line->event_ == "request-finished";
     const bool isDecidedByOwner =
       deciding != nullptr && deciding->event_ == "request-finished";
@@ -249,6 +252,9 @@
     text += Render(*line);
   }
   const LogLine* deciding = FindDecidingLine(requestLines);
+  if (deciding == nullptr) {
+    return text + "not sealed: no line has an outcome\n";
+  }
   text += "sealed by " + deciding->host_ +
           ": outcome=" + GetField(*deciding, "outcome") +
           " sqlstate=" + GetField(*deciding, "sqlstate") +
--- a/apps/wigeonlbd/tests/requestlog_tests.cpp
+++ b/apps/wigeonlbd/tests/requestlog_tests.cpp
@@ -44,6 +44,15 @@
       "outcome=unknown sqlstate=08007 target=a floor=2/9 took_ms=3 "
       "grant_term=2 grant_left_ms=640 queued=5 newest=2/11 "
       "newest_age_ms=30" },
+    { { .event_ = RequestEvent::TransactionDiffers,
+        .request_ = { "r1", "10.0.0.1", 7, 9 },
+        .group_ = "g",
+        .transaction_ = 0,
+        .openTransaction_ =
+          core::traffic::OpenTransaction{ 4, 21, "a", 900ms, 850ms } },
+      "event=transaction-differs request=r1 session=10.0.0.1/7 attempt=9 "
+      "group=g transaction=0 took_ms=0 open_transaction=4 connection=21 "
+      "open_at=a open_ms=900 open_idle_ms=850" },
   }));
   CHECK(foundation::FormatLogLine(EventName(row.decision_.event_),
                                   BuildLogFields(row.decision_)) == row.line_);
--- a/apps/wigeonlbd/traffic/entryoutcome.cpp
+++ b/apps/wigeonlbd/traffic/entryoutcome.cpp
@@ -54,8 +54,10 @@
   status_ = static_cast<caller::TransactionStatus>(aStatus);
   if (status_ == caller::TransactionStatus::Idle) {
     transactionOwner_.clear();
-  } else {
+    transaction_ = 0;
+  } else if (transactionOwner_.empty()) {
     transactionOwner_ = owner_;
+    transaction_ = request_.request();
   }
   caller_->FinishQuery(status_);
 }
@@ -114,6 +116,7 @@
     request_.statement_id(), context_.host_, number_, request_.request()
   };
   decision.group_ = group_;
+  decision.transaction_ = transaction_;
   decision.database_ = database_;
   decision.outcome_ = aResult.outcome_;
   decision.sqlstate_ = aResult.sqlstate_;
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -155,6 +155,7 @@
   request_.set_database(database_);
   request_.set_tenant(tenant_);
   request_.set_in_transaction(InTransaction());
+  request_.set_transaction(transaction_);
   if (!AddStatement(aClass, aSql)) {
     return;
   }
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -158,6 +158,8 @@
 
   //! Owner of the open transaction; empty outside a transaction.
   foundation::HostId transactionOwner_;
+  //! Number of the request that began the open transaction; 0 outside one.
+  std::uint64_t transaction_ = 0;
   //! The owner of the open transaction was lost between two statements.
   bool transactionLost_ = false;
   caller::TransactionStatus status_ = caller::TransactionStatus::Idle;
--- a/apps/wigeonlbd/traffic/ownedsessions.cpp
+++ b/apps/wigeonlbd/traffic/ownedsessions.cpp
@@ -106,6 +106,9 @@
   }
   arrived.repeatable_ = request.repeatable();
   arrived.inTransaction_ = request.in_transaction();
+  if (request.has_transaction()) {
+    arrived.transaction_ = request.transaction();
+  }
   arrived.keyed_ = !request.request_key().empty();
   arrived.dataCentre_ = request.data_centre();
   return arrived;
--- a/apps/wigeonlbd/traffic/ownedsessions.h
+++ b/apps/wigeonlbd/traffic/ownedsessions.h
@@ -2,12 +2,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
 
 #include "core/traffic/actions.h"
 #include "core/traffic/events.h"
+#include "core/traffic/trafficstate.h"
 #include "forward.pb.h"
 #include "foundation/identifiers.h"
 
@@ -26,6 +28,8 @@
   foundation::Instant arrivedAt_;
   bool running_ = false;
   bool inTransaction_ = false;
+  //! The transaction that was open when the request arrived.
+  std::optional<core::traffic::OpenTransaction> openTransaction_;
   std::string heldEnd_; //!< end of the target's answer, held until Finish
   std::uint64_t passedBytes_ = 0;
   std::uint64_t consumedBytes_ = 0;
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -84,6 +84,9 @@
   if (!BeginRequest(session, std::move(aRequest))) {
     return; // late or duplicate
   }
+  session.openTransaction_ =
+    core_traffic::FindOpenTransaction(state_, session.id_, SteadyNow());
+  LogIfTransactionDiffers(session);
   Feed(MakeArrival(session, SteadyNow()));
 }
 
@@ -435,38 +438,6 @@
   session->request_.clear_statement();
 }
 
-void
-OwnerGroup::Log(const OwnedSession& aSession,
-                const core_traffic::Finish& aFinish)
-{
-  if (settings_.log_ == nullptr || aFinish.sqlstate_.empty() ||
-      aFinish.passTargetAnswer_) {
-    return;
-  }
-  const foundation::Instant now = foundation::SteadyNow();
-  const auto groupStatus = core_traffic::GetGroupStatus(state_, now);
-  const wire::ForwardRequest& request = aSession.request_;
-  RequestDecision decision;
-  decision.event_ = RequestEvent::Finished;
-  decision.request_ = { request.statement_id(),
-                        std::get<0>(aSession.key_),
-                        std::get<2>(aSession.key_),
-                        request.request() };
-  decision.group_ = settings_.group_;
-  decision.outcome_ = aFinish.outcome_;
-  decision.sqlstate_ = aFinish.sqlstate_;
-  decision.reason_ = aFinish.message_;
-  decision.target_ = aFinish.servedBy_;
-  decision.floor_ = { request.floor().term(), request.floor().offset() };
-  decision.took_ = now - aSession.arrivedAt_;
-  decision.grantTerm_ = groupStatus.grantTerm_;
-  decision.leaseRemaining_ = groupStatus.leaseRemaining_;
-  decision.queued_ = groupStatus.queued_;
-  decision.newest_ = groupStatus.newest_;
-  decision.newestAge_ = groupStatus.newestAge_;
-  settings_.log_->Write(decision, now);
-}
-
 void
 OwnerGroup::Execute(const core_traffic::CancelOnTarget& aAction)
 {
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -112,6 +112,9 @@
   void Execute(const core::traffic::SendProbe& aAction);
   void Execute(const core::traffic::ResetProbe& aAction);
   void Execute(const core::traffic::Finish& aAction);
+  //! Logs that the current request has arrived with another transaction than
+  //! the open one: the entry host and this owner disagree about the session.
+  void LogIfTransactionDiffers(const OwnedSession& aSession);
   //! Logs an error that this owner, rather than the target, decided on.
   void Log(const OwnedSession& aSession, const core::traffic::Finish& aFinish);
   void Execute(const core::traffic::CancelOnTarget& aAction);
--- a/apps/wigeonlbd/traffic/requestlog.cpp
+++ b/apps/wigeonlbd/traffic/requestlog.cpp
@@ -38,6 +38,17 @@
   }
 }
 
+void
+AddOpenTransaction(std::vector<LogField>& aFields,
+                   const core::traffic::OpenTransaction& aOpen)
+{
+  aFields.emplace_back("open_transaction", std::to_string(aOpen.transaction_));
+  aFields.emplace_back("connection", std::to_string(aOpen.connection_));
+  aFields.emplace_back("open_at", aOpen.target_);
+  aFields.emplace_back("open_ms", FormatMilliseconds(aOpen.age_));
+  aFields.emplace_back("open_idle_ms", FormatMilliseconds(aOpen.idle_));
+}
+
 void
 AddOwnerState(std::vector<LogField>& aFields, const RequestDecision& aDecision)
 {
@@ -68,6 +79,8 @@
       return "request-handed-on";
     case RequestEvent::Finished:
       return "request-finished";
+    case RequestEvent::TransactionDiffers:
+      return "transaction-differs";
   }
   return "";
 }
@@ -99,7 +112,13 @@
   fields.emplace_back("attempt", std::to_string(request.number_));
   AddText(fields, "group", aDecision.group_);
   AddText(fields, "database", aDecision.database_);
-  fields.emplace_back("outcome", std::string(OutcomeName(aDecision.outcome_)));
+  if (aDecision.transaction_) {
+    fields.emplace_back("transaction", std::to_string(*aDecision.transaction_));
+  }
+  if (aDecision.outcome_) {
+    fields.emplace_back("outcome",
+                        std::string(OutcomeName(*aDecision.outcome_)));
+  }
   AddText(fields, "sqlstate", aDecision.sqlstate_);
   AddText(fields, "reason", aDecision.reason_);
   AddText(fields, "owner", aDecision.owner_);
@@ -113,6 +132,9 @@
   if (aDecision.revision_) {
     fields.emplace_back("revision", std::to_string(*aDecision.revision_));
   }
+  if (aDecision.openTransaction_) {
+    AddOpenTransaction(fields, *aDecision.openTransaction_);
+  }
   AddOwnerState(fields, aDecision);
   return fields;
 }
--- a/apps/wigeonlbd/traffic/requestlog.h
+++ b/apps/wigeonlbd/traffic/requestlog.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/traffic/trafficstate.h"
 #include "forward.pb.h"
 #include "foundation/clock.h"
 #include "foundation/identifiers.h"
@@ -23,6 +24,8 @@
   Answered, //!< at the entry host: it was answered with an error
   HandedOn, //!< at the entry host: it was sent on to another owner
   Finished, //!< at the owner: it ended with an error
+  //! At the owner: it arrived with another transaction than the open one.
+  TransactionDiffers,
 };
 
 std::string_view
@@ -46,10 +49,13 @@
   RequestEvent event_ = RequestEvent::Answered;
   RequestName request_;
   std::string_view group_;
-  std::string_view database_; //!< empty at the owner
-  wire::Outcome outcome_ = wire::OUTCOME_DONE;
+  std::string_view database_;            //!< empty at the owner
+  std::optional<wire::Outcome> outcome_; //!< empty: it goes on
   std::string_view sqlstate_;
   std::string_view reason_;
+  //! Number of the request that began the transaction to which the request
+  //! belongs, by its entry host; 0: it belongs to none.
+  std::optional<std::uint64_t> transaction_;
   //! The owner that received the last attempt; empty at the owner.
   std::string_view owner_;
   std::string_view target_; //!< that ran the request; empty: none
@@ -59,6 +65,9 @@
   //! Revision of the routes at the entry host.
   std::optional<foundation::Revision> revision_;
 
+  //! At the owner: the transaction that was open when the request arrived.
+  std::optional<core::traffic::OpenTransaction> openTransaction_;
+
   // State of the owner at the decision.
   std::optional<std::uint64_t> grantTerm_;
   foundation::Duration leaseRemaining_{ 0 };
--- a/packages/core/traffic/events.h
+++ b/packages/core/traffic/events.h
@@ -115,6 +115,9 @@
   //! no such transaction, the transaction was lost or the statement was delayed
   //! on its way, and it must not run outside the transaction.
   bool inTransaction_ = false;
+  //! Number of the request that began the transaction to which the statement
+  //! belongs; 0 for none. Empty if the entry host only sets inTransaction_.
+  std::optional<std::uint64_t> transaction_ = std::nullopt;
 };
 
 //! An OpenConnection succeeded; the connection is idle.
--- a/packages/core/traffic/internal/answers.cpp
+++ b/packages/core/traffic/internal/answers.cpp
@@ -146,6 +146,7 @@
     return;
   }
   if (aSession.pinned_ == 0) {
+    aSession.transaction_ = aSession.current_->id_.request_;
     aSession.transactionBeganAt_ = aConnection.since_;
   }
   aSession.term_ = aTerm;
--- a/packages/core/traffic/internal/group.h
+++ b/packages/core/traffic/internal/group.h
@@ -121,6 +121,9 @@
   std::unique_ptr<Request> current_;
   //! The connection of its open transaction; 0 without one.
   ConnectionId pinned_ = 0;
+  //! Number of the request that began the open or aborted transaction; 0 if it
+  //! is not known. Without such a transaction it has no meaning.
+  std::uint64_t transaction_ = 0;
   std::uint64_t term_ = 0;
   //! The transaction may have written.
   bool wrote_ = false;
--- a/packages/core/traffic/trafficstate.cpp
+++ b/packages/core/traffic/trafficstate.cpp
@@ -250,4 +250,29 @@
   return status;
 }
 
+std::optional<OpenTransaction>
+FindOpenTransaction(const TrafficState& aState,
+                    SessionId aSession,
+                    Instant aNow)
+{
+  const auto& group = *aState.group_;
+  const auto session = group.sessions_.find(aSession);
+  if (session == group.sessions_.end()) {
+    return std::nullopt;
+  }
+  const auto found = group.connections_.find(session->second.pinned_);
+  if (found == group.connections_.end()) {
+    return std::nullopt;
+  }
+  const internal::Connection& connection = *found->second;
+  const bool isIdle = connection.state_ == pool::ConnectionState::Pinned;
+  return OpenTransaction{
+    .transaction_ = session->second.transaction_,
+    .connection_ = connection.id_,
+    .target_ = connection.target_->state_.target(),
+    .age_ = aNow - session->second.transactionBeganAt_,
+    .idle_ = isIdle ? aNow - connection.since_ : Duration::zero(),
+  };
+}
+
 } // namespace wigeonlb::core::traffic
--- a/packages/core/traffic/trafficstate.h
+++ b/packages/core/traffic/trafficstate.h
@@ -122,4 +122,20 @@
 GroupStatus
 GetGroupStatus(const TrafficState& aState, Instant aNow);
 
+//! A session's open transaction, as its owner knows it; for the log.
+struct OpenTransaction
+{
+  std::uint64_t transaction_ = 0; //!< number of the request that began it
+  ConnectionId connection_ = 0;
+  TargetName target_;
+  Duration age_{ 0 };  //!< since its first statement was sent
+  Duration idle_{ 0 }; //!< since its last statement; zero while one runs
+};
+
+//! Returns the open transaction of a session; empty without one.
+std::optional<OpenTransaction>
+FindOpenTransaction(const TrafficState& aState,
+                    SessionId aSession,
+                    Instant aNow);
+
 } // namespace wigeonlb::core::traffic
