Tests that find PINNED: a statement inside a transaction that was given up

FakeGroup checks for each statement that it runs in the transaction that its caller believes in, so the random schedules of the owner check it, too.

--- a/packages/core/traffic/tests/fakedriver.cpp
+++ b/packages/core/traffic/tests/fakedriver.cpp
@@ -161,11 +161,26 @@
              [this, id, statement] { Execute(id, statement); });
 }
 
+void
+FakeGroup::CheckTransaction(const Link& aLink, const SentRequest& aSentRequest)
+{
+  const SessionId session = aLink.current_.request_.session_;
+  const RequestId open = aLink.inTransaction_ ? aLink.begin_ : RequestId{};
+  const std::uint64_t expected = aSentRequest.transaction_;
+  if (open != (expected == 0 ? RequestId{} : RequestId{ session, expected })) {
+    AddViolation("a statement of session " + std::to_string(session) +
+                 " and transaction " + std::to_string(expected) +
+                 " ran in transaction " + std::to_string(open.request_) +
+                 " of session " + std::to_string(open.session_));
+  }
+}
+
 std::string
 FakeGroup::RunStatement(Link& aLink, const SentRequest& aSentRequest)
 {
   const auto statementClass = aSentRequest.spec_.class_;
   const RequestId& id = aLink.current_.request_;
+  CheckTransaction(aLink, aSentRequest);
   const bool writes =
     statementClass == wire::STATEMENT_WRITE || aSentRequest.spec_.writes_;
   if (writes && (!aLink.target_->primary_ || aLink.current_.readOnly_)) {
@@ -180,6 +195,7 @@
     aLink.current_.wrote_ = !aLink.pendingWrites_.empty();
   }
   if (statementClass == wire::STATEMENT_BEGIN) {
+    aLink.begin_ = aLink.inTransaction_ ? aLink.begin_ : id;
     aLink.inTransaction_ = true;
     aLink.pendingKey_ = aSentRequest.spec_.key_;
     if (!aSentRequest.spec_.key_.empty()) {
--- a/packages/core/traffic/tests/fakegroup.cpp
+++ b/packages/core/traffic/tests/fakegroup.cpp
@@ -201,6 +201,7 @@
   return static_cast<std::size_t>(
     std::count_if(requests_.begin(), requests_.end(), [&](const auto& aEntry) {
       return !results_.contains(aEntry.first) &&
+             !givenUp_.contains(aEntry.first) &&
              !aClosed.contains(aEntry.first.session_);
     }));
 }
@@ -251,6 +252,8 @@
     aSpec, now_ + aSpec.deadline_, acknowledged_[aSpec.session_], {}
   };
   sentRequest.floor_ = aSpec.floor_.value_or(floors_[aSpec.session_]);
+  sentRequest.transaction_ =
+    aSpec.transaction_.value_or(transactions_[aSpec.session_]);
   requests_[id] = sentRequest;
   RequestArrived event;
   event.id_ = id;
@@ -266,10 +269,26 @@
   event.repeatable_ = aSpec.repeatable_;
   event.dataCentre_ = "centro-a";
   event.keyed_ = !aSpec.key_.empty();
+  if (numbersTransactions_) {
+    event.inTransaction_ = sentRequest.transaction_ != 0;
+    event.transaction_ = sentRequest.transaction_;
+  }
   Feed(event);
   return id;
 }
 
+void
+FakeGroup::GiveUp(SessionId aSession)
+{
+  const RequestId last{ aSession, lastRequest_[aSession] };
+  if (!results_.contains(last)) {
+    givenUp_.insert(last);
+  }
+  status_[aSession] = 'I';
+  transactions_[aSession] = 0;
+  inTransaction_[aSession].clear();
+}
+
 void
 FakeGroup::Run(Duration aLength)
 {
@@ -439,8 +458,17 @@
     AddViolation("finished after its deadline: " + aAction.message_);
   }
   results_[id] = { now_, aAction };
+  if (givenUp_.contains(id)) {
+    return; // the entry host ignores it
+  }
   const char before =
     std::exchange(status_[id.session_], aAction.transactionStatus_);
+  std::uint64_t& transaction = transactions_[id.session_];
+  if (aAction.transactionStatus_ == 'I') {
+    transaction = 0;
+  } else if (transaction == 0) {
+    transaction = id.request_;
+  }
   // A COMMIT without a transaction to end gets the response of a ROLLBACK.
   if (aAction.outcome_ == wire::OUTCOME_DONE && !aAction.passTargetAnswer_) {
     if (before == 'T' &&
--- a/packages/core/traffic/tests/fakegroup.h
+++ b/packages/core/traffic/tests/fakegroup.h
@@ -84,6 +84,9 @@
   bool writes_ = false;
   //! Request key; for a transaction, the key of its BEGIN.
   std::string key_;
+  //! Number of the request that began the transaction to which the statement
+  //! belongs. Empty: the one that the session's caller believes to be open.
+  std::optional<std::uint64_t> transaction_ = std::nullopt;
 };
 
 //! A simulation of one group in virtual time: targets, driver and callers
@@ -136,6 +139,9 @@
   void BreakConnections(std::size_t aIndex, bool aRowsForwarded = false);
 
   RequestId Send(const RequestSpec& aSpec);
+  //! The entry host gives up the session's transaction and its request in
+  //! progress, and no message about it reaches the owner.
+  void GiveUp(SessionId aSession);
   void Run(Duration aLength);
   //! Sends a request and runs until its Finish.
   Finish Do(const RequestSpec& aSpec);
@@ -154,6 +160,8 @@
   std::uint64_t ticks_ = 0;
   std::map<std::string, std::string> options_; //!< of the group
   std::vector<std::string> endedHolders_;      //!< sent with the next Grant
+  //! Whether the entry host tells the number of the transaction.
+  bool numbersTransactions_ = true;
   //! Called with each step of the state machine; may be empty.
   std::function<void(const TrafficEvent&, std::span<const TrafficAction>)>
     onStep_;
@@ -176,6 +184,8 @@
     bool busy_ = false;
     bool inTransaction_ = false;
     bool failedTransaction_ = false;
+    //! The BEGIN of the open transaction.
+    RequestId begin_;
     std::vector<RequestId> pendingWrites_;
     std::string pendingKey_;
     std::uint64_t statement_ = 0;
@@ -189,6 +199,7 @@
     Instant deadline_;
     std::set<RequestId> requiredWrites_;
     LogPosition floor_;
+    std::uint64_t transaction_ = 0;
   };
 
   void ScheduleAt(Instant aTime, std::function<void()> aCallback);
@@ -207,6 +218,7 @@
   void Execute(ConnectionId aId, std::uint64_t aStatement);
   void Answer(ConnectionId aId, std::uint64_t aStatement, std::string aError);
   std::string RunStatement(Link& aLink, const SentRequest& aSentRequest);
+  void CheckTransaction(const Link& aLink, const SentRequest& aSentRequest);
   void Append(FakeTarget& aPrimary,
               const RequestId& aWrite,
               const std::string& aKey = {});
@@ -233,6 +245,8 @@
   Instant grantEnds_;
   std::uint32_t requestedShare_ = 8;
   std::map<ConnectionId, Link> links_;
+  std::map<SessionId, std::uint64_t> transactions_; //!< by the caller's belief
+  std::set<RequestId> givenUp_;
   std::map<RequestId, SentRequest> requests_;
   std::map<SessionId, LogPosition> floors_;
   std::map<SessionId, std::set<RequestId>> acknowledged_;
