Owners run a statement only in the transaction that its entry host names

A single write was acknowledged and went with that transaction; a COMMIT of a later transaction also committed what had been given up.

Cause: an owner put each statement of a session into the transaction that it had open for it. An entry host that has given a transaction up (link lost, deadline) tells so by one message, which may be lost with the link, or by none (a BEGIN that is handed on). `in_transaction` could not tell two transactions apart.

Change: the number of the request that began a transaction identifies it between two hosts. On every arrival the owner compares it with its own; a transaction that differs is rolled back before anything runs, and the statement then runs as what it says it is, or is refused as not run (25P02, 40000 for a COMMIT). A request without the number is handled as before. Random schedules send numbers in three of four. `wigeonlb_owner_transactions_given_up` counts the roll-backs.

--- a/apps/wigeonlbd/operations/gauges.cpp
+++ b/apps/wigeonlbd/operations/gauges.cpp
@@ -44,6 +44,7 @@
   set("wigeonlb_owner_silent_connections", counters.unresponsiveConnections_);
   set("wigeonlb_owner_end_orders", counters.terminationRequests_);
   set("wigeonlb_owner_probes_sent", counters.probesSent_);
+  set("wigeonlb_owner_transactions_given_up", counters.transactionsGivenUp_);
 }
 
 } // namespace
--- a/apps/wigeonlbd/tests/requestlog_tests.cpp
+++ b/apps/wigeonlbd/tests/requestlog_tests.cpp
@@ -49,7 +49,7 @@
         .group_ = "g",
         .transaction_ = 0,
         .openTransaction_ =
-          core::traffic::OpenTransaction{ 4, 21, "a", 900ms, 850ms } },
+          core::traffic::SessionTransaction{ 4, 21, "a", 900ms, 850ms } },
       "event=transaction-differs request=r1 session=10.0.0.1/7 attempt=9 "
       "group=g transaction=0 took_ms=0 open_transaction=4 connection=21 "
       "open_at=a open_ms=900 open_idle_ms=850" },
--- a/apps/wigeonlbd/traffic/ownedsessions.h
+++ b/apps/wigeonlbd/traffic/ownedsessions.h
@@ -28,8 +28,8 @@
   foundation::Instant arrivedAt_;
   bool running_ = false;
   bool inTransaction_ = false;
-  //! The transaction that was open when the request arrived.
-  std::optional<core::traffic::OpenTransaction> openTransaction_;
+  //! The session's transaction when the request arrived.
+  std::optional<core::traffic::SessionTransaction> openTransaction_;
   std::string heldEnd_; //!< end of the target's answer, held until Finish
   std::uint64_t passedBytes_ = 0;
   std::uint64_t consumedBytes_ = 0;
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -85,7 +85,7 @@
     return; // late or duplicate
   }
   session.openTransaction_ =
-    core_traffic::FindOpenTransaction(state_, session.id_, SteadyNow());
+    core_traffic::FindTransaction(state_, session.id_, SteadyNow());
   LogIfTransactionDiffers(session);
   Feed(MakeArrival(session, SteadyNow()));
 }
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -113,7 +113,7 @@
   void Execute(const core::traffic::ResetProbe& aAction);
   void Execute(const core::traffic::Finish& aAction);
   //! Logs that the current request has arrived with another transaction than
-  //! the open one: the entry host and this owner disagree about the session.
+  //! the one here: the entry host and this owner disagree about the session.
   void LogIfTransactionDiffers(const OwnedSession& aSession);
   //! Logs an error that this owner, rather than the target, decided on.
   void Log(const OwnedSession& aSession, const core::traffic::Finish& aFinish);
--- a/apps/wigeonlbd/traffic/requestlog.cpp
+++ b/apps/wigeonlbd/traffic/requestlog.cpp
@@ -40,9 +40,14 @@
 
 void
 AddOpenTransaction(std::vector<LogField>& aFields,
-                   const core::traffic::OpenTransaction& aOpen)
+                   const core::traffic::SessionTransaction& aOpen)
 {
-  aFields.emplace_back("open_transaction", std::to_string(aOpen.transaction_));
+  const bool isAborted = aOpen.connection_ == 0;
+  aFields.emplace_back(isAborted ? "aborted_transaction" : "open_transaction",
+                       std::to_string(aOpen.transaction_));
+  if (isAborted) {
+    return;
+  }
   aFields.emplace_back("connection", std::to_string(aOpen.connection_));
   aFields.emplace_back("open_at", aOpen.target_);
   aFields.emplace_back("open_ms", FormatMilliseconds(aOpen.age_));
--- a/apps/wigeonlbd/traffic/requestlog.h
+++ b/apps/wigeonlbd/traffic/requestlog.h
@@ -24,7 +24,7 @@
   Answered, //!< at the entry host: it was answered with an error
   HandedOn, //!< at the entry host: it was sent on to another owner
   Finished, //!< at the owner: it ended with an error
-  //! At the owner: it arrived with another transaction than the open one.
+  //! At the owner: it arrived with another transaction than the one there.
   TransactionDiffers,
 };
 
@@ -65,8 +65,8 @@
   //! Revision of the routes at the entry host.
   std::optional<foundation::Revision> revision_;
 
-  //! At the owner: the transaction that was open when the request arrived.
-  std::optional<core::traffic::OpenTransaction> openTransaction_;
+  //! At the owner: the session's transaction when the request arrived.
+  std::optional<core::traffic::SessionTransaction> openTransaction_;
 
   // State of the owner at the decision.
   std::optional<std::uint64_t> grantTerm_;
--- a/packages/core/traffic/internal/arrivals.cpp
+++ b/packages/core/traffic/internal/arrivals.cpp
@@ -141,6 +141,41 @@
   Route(aContext, aRequest);
 }
 
+// The transaction of the session as its owner knows it, open or aborted; 0 for
+// none.
+std::uint64_t
+GetTransaction(const Session& aSession)
+{
+  const bool hasTransaction = aSession.pinned_ != 0 || aSession.aborted_;
+  return hasTransaction ? aSession.transaction_ : 0;
+}
+
+// Makes the owner's view of the session's transaction that of its entry host,
+// which knows what its caller was told. A transaction that the entry host has
+// given up is rolled back; one that is not here was rolled back earlier.
+void
+AdoptTransaction(Context& aContext,
+                 Session& aSession,
+                 const RequestArrived& aEvent)
+{
+  if (!aEvent.transaction_) {
+    const bool isLost =
+      aEvent.inTransaction_ && aSession.pinned_ == 0 && !aSession.aborted_;
+    if (isLost) {
+      AbortTransaction(aContext, aSession);
+      aSession.transaction_ = 0;
+    }
+    return;
+  }
+  if (*aEvent.transaction_ == GetTransaction(aSession)) {
+    return;
+  }
+  aContext.counters_.transactionsGivenUp_ += aSession.pinned_ != 0 ? 1 : 0;
+  AbortTransaction(aContext, aSession);
+  aSession.transaction_ = *aEvent.transaction_;
+  aSession.aborted_ = aSession.transaction_ != 0;
+}
+
 } // namespace
 
 void
@@ -165,11 +200,7 @@
   session.current_ = MakeRequest(aEvent, aContext.now_);
   Request& request = *session.current_;
   group.live_.insert(request);
-  if (aEvent.inTransaction_ && session.pinned_ == 0 && !session.aborted_) {
-    session.aborted_ = true;
-    session.errorReported_ = false;
-    session.timedOut_ = false;
-  }
+  AdoptTransaction(aContext, session, aEvent);
   if (session.aborted_) {
     FinishInAbortedTransaction(aContext, session, request);
   } else if (session.pinned_ != 0) {
--- a/packages/core/traffic/internal/outcomes.cpp
+++ b/packages/core/traffic/internal/outcomes.cpp
@@ -83,6 +83,7 @@
   }
   Session& session = aContext.group_.sessions_.at(aRequest.id_.session_);
   AbortTransaction(aContext, session);
+  session.transaction_ = aRequest.id_.request_;
   session.errorReported_ = true;
   aFinish.transactionStatus_ = 'E';
 }
--- a/packages/core/traffic/tests/schedule.cpp
+++ b/packages/core/traffic/tests/schedule.cpp
@@ -16,6 +16,9 @@
            2 + random_() % 2,
            1 + static_cast<std::uint32_t>(random_() % 3))
 {
+  // Some entry hosts run an older version.
+  constexpr std::uint64_t kSeedsPerOlderHost = 4;
+  group_.numbersTransactions_ = aSeed % kSeedsPerOlderHost != 0;
 }
 
 FakeGroup&
--- a/packages/core/traffic/trafficstate.cpp
+++ b/packages/core/traffic/trafficstate.cpp
@@ -250,29 +250,28 @@
   return status;
 }
 
-std::optional<OpenTransaction>
-FindOpenTransaction(const TrafficState& aState,
-                    SessionId aSession,
-                    Instant aNow)
+std::optional<SessionTransaction>
+FindTransaction(const TrafficState& aState, SessionId aSession, Instant aNow)
 {
   const auto& group = *aState.group_;
-  const auto session = group.sessions_.find(aSession);
-  if (session == group.sessions_.end()) {
+  const auto found = group.sessions_.find(aSession);
+  if (found == group.sessions_.end()) {
     return std::nullopt;
   }
-  const auto found = group.connections_.find(session->second.pinned_);
-  if (found == group.connections_.end()) {
-    return std::nullopt;
+  const internal::Session& session = found->second;
+  SessionTransaction transaction{ .transaction_ = session.transaction_ };
+  const auto pinned = group.connections_.find(session.pinned_);
+  if (pinned == group.connections_.end()) {
+    return session.aborted_ ? std::optional(transaction) : std::nullopt;
+  }
+  const internal::Connection& connection = *pinned->second;
+  transaction.connection_ = connection.id_;
+  transaction.target_ = connection.target_->state_.target();
+  transaction.age_ = aNow - session.transactionBeganAt_;
+  if (connection.state_ == pool::ConnectionState::Pinned) {
+    transaction.idle_ = aNow - connection.since_;
   }
-  const internal::Connection& connection = *found->second;
-  const bool isIdle = connection.state_ == pool::ConnectionState::Pinned;
-  return OpenTransaction{
-    .transaction_ = session->second.transaction_,
-    .connection_ = connection.id_,
-    .target_ = connection.target_->state_.target(),
-    .age_ = aNow - session->second.transactionBeganAt_,
-    .idle_ = isIdle ? aNow - connection.since_ : Duration::zero(),
-  };
+  return transaction;
 }
 
 } // namespace wigeonlb::core::traffic
--- a/packages/core/traffic/trafficstate.h
+++ b/packages/core/traffic/trafficstate.h
@@ -36,6 +36,9 @@
   //! former holder.
   std::uint64_t terminationRequests_ = 0;
   std::uint64_t ejections_ = 0;
+  //! Open transactions that were rolled back because their entry host had given
+  //! them up.
+  std::uint64_t transactionsGivenUp_ = 0;
 };
 
 //! One group's traffic at an owner. Not thread-safe; movable, not copyable.
@@ -122,20 +125,18 @@
 GroupStatus
 GetGroupStatus(const TrafficState& aState, Instant aNow);
 
-//! A session's open transaction, as its owner knows it; for the log.
-struct OpenTransaction
+//! A session's transaction, as its owner knows it; for the log.
+struct SessionTransaction
 {
   std::uint64_t transaction_ = 0; //!< number of the request that began it
-  ConnectionId connection_ = 0;
+  ConnectionId connection_ = 0;   //!< 0: it was aborted with its connection
   TargetName target_;
   Duration age_{ 0 };  //!< since its first statement was sent
   Duration idle_{ 0 }; //!< since its last statement; zero while one runs
 };
 
-//! Returns the open transaction of a session; empty without one.
-std::optional<OpenTransaction>
-FindOpenTransaction(const TrafficState& aState,
-                    SessionId aSession,
-                    Instant aNow);
+//! Returns the open or aborted transaction of a session; empty without one.
+std::optional<SessionTransaction>
+FindTransaction(const TrafficState& aState, SessionId aSession, Instant aNow);
 
 } // namespace wigeonlb::core::traffic
