A request that its entry host gave up no longer blocks the session's next one

What callers saw: after a link was lost for a moment, the session's next statement had no answer until its deadline, 08007 or 40003.

Cause: an owner dropped each request of a session, without a word, while it still ran an earlier one; the core refused it with 08P01. But an entry host sends the next request only when it has the end of the last one or has given it up. Frames and the end of a target's answer went to whatever request the session had at the time.

Change: a later request takes the place of the running one, which is dropped with its connection and its transaction, as when the session is closed; late ones and duplicates are refused as before. Answers of targets are matched by session and request.

--- a/apps/wigeonlbd/traffic/ownedsessions.cpp
+++ b/apps/wigeonlbd/traffic/ownedsessions.cpp
@@ -24,10 +24,16 @@
 }
 
 OwnedSession*
-OwnedSessions::Find(core::traffic::SessionId aId)
+OwnedSessions::FindRunning(const core::traffic::RequestId& aRequest)
 {
-  const auto key = keys_.find(aId);
-  return key == keys_.end() ? nullptr : &sessions_.at(key->second);
+  const auto key = keys_.find(aRequest.session_);
+  if (key == keys_.end()) {
+    return nullptr;
+  }
+  OwnedSession& session = sessions_.at(key->second);
+  const bool runs =
+    session.running_ && session.request_.request() == aRequest.request_;
+  return runs ? &session : nullptr;
 }
 
 void
@@ -72,7 +78,7 @@
 bool
 BeginRequest(OwnedSession& aSession, wire::ForwardRequest&& aRequest)
 {
-  if (aSession.running_ || aRequest.request() <= aSession.request_.request()) {
+  if (aRequest.request() <= aSession.request_.request()) {
     return false;
   }
   aSession.request_ = std::move(aRequest);
--- a/apps/wigeonlbd/traffic/ownedsessions.h
+++ b/apps/wigeonlbd/traffic/ownedsessions.h
@@ -44,7 +44,9 @@
   //! Returns the session with this key, and creates it if there is none.
   OwnedSession& GetOrCreate(const SessionKey& aKey);
   OwnedSession* Find(const SessionKey& aKey);
-  OwnedSession* Find(core::traffic::SessionId aId);
+  //! Returns the session in which this request runs; null if it has ended or
+  //! was replaced by a later one.
+  OwnedSession* FindRunning(const core::traffic::RequestId& aRequest);
   void Erase(const SessionKey& aKey);
 
   //! Keys of the sessions of a host, except those of its boot aKeepBoot.
@@ -61,8 +63,9 @@
   core::traffic::SessionId nextId_ = 1;
 };
 
-//! Starts a request of a session. Returns false, without a change, if another
-//! request is running or if the request is late or a duplicate.
+//! Starts a request of a session, in place of an earlier one that is running:
+//! its entry host has given that one up. Returns false, without a change, if
+//! the request is late or a duplicate.
 bool
 BeginRequest(OwnedSession& aSession, wire::ForwardRequest&& aRequest);
 
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -222,8 +222,8 @@
 void
 OwnerGroup::OnFrames(GroupConnection& aConnection, std::string aFrames)
 {
-  OwnedSession* const session = sessions_.Find(aConnection.Request().session_);
-  if (session == nullptr || !session->running_) {
+  OwnedSession* const session = sessions_.FindRunning(aConnection.Request());
+  if (session == nullptr) {
     return;
   }
   SendFrames(*session, std::move(aFrames));
@@ -241,7 +241,7 @@
   const std::optional<foundation::LogPosition>& aPosition,
   std::string aHeldEnd)
 {
-  OwnedSession* const session = sessions_.Find(aConnection.Request().session_);
+  OwnedSession* const session = sessions_.FindRunning(aConnection.Request());
   if (session != nullptr) {
     session->heldEnd_ = std::move(aHeldEnd);
   }
@@ -331,7 +331,7 @@
 OwnerGroup::Execute(const core_traffic::SendStatement& aAction)
 {
   GroupConnection* const connection = FindConnection(aAction.connection_);
-  OwnedSession* const session = sessions_.Find(aAction.request_.session_);
+  OwnedSession* const session = sessions_.FindRunning(aAction.request_);
   if (connection == nullptr || session == nullptr) {
     return; // lost or closed; the event for that is queued
   }
@@ -423,9 +423,8 @@
 void
 OwnerGroup::Execute(const core_traffic::Finish& aAction)
 {
-  OwnedSession* const session = sessions_.Find(aAction.request_.session_);
-  if (session == nullptr || !session->running_ ||
-      session->request_.request() != aAction.request_.request_) {
+  OwnedSession* const session = sessions_.FindRunning(aAction.request_);
+  if (session == nullptr) {
     return;
   }
   session->running_ = false;
--- a/packages/core/traffic/events.h
+++ b/packages/core/traffic/events.h
@@ -31,7 +31,8 @@
 //! none.
 using BackendId = std::int32_t;
 
-//! One statement of a session. A session has at most one at a time.
+//! One statement of a session. A session has at most one at a time, and its
+//! request numbers increase.
 struct RequestId
 {
   SessionId session_ = 0;
@@ -89,7 +90,9 @@
   std::optional<Duration> drain_;
 };
 
-//! A statement to run. Each one gets exactly one Finish.
+//! A statement to run. Each one gets exactly one Finish, unless a later one of
+//! its session arrives first: the entry host has then given it up, and it is
+//! dropped.
 struct RequestArrived
 {
   RequestId id_;
--- a/packages/core/traffic/internal/arrivals.cpp
+++ b/packages/core/traffic/internal/arrivals.cpp
@@ -141,6 +141,35 @@
   Route(aContext, aRequest);
 }
 
+// The entry host no longer waits for the session's request in progress. Its
+// transaction ends with it.
+void
+DropCurrentRequest(Context& aContext, Session& aSession)
+{
+  Unqueue(*aSession.current_);
+  DetachRequest(aContext, *aSession.current_, true);
+  aSession.current_.reset();
+  if (aSession.pinned_ != 0) {
+    AbortTransaction(aContext, aSession);
+  }
+}
+
+void
+RefuseLateRequest(Context& aContext,
+                  const Session& aSession,
+                  const RequestId& aRequest)
+{
+  ++aContext.counters_.notRun_;
+  Finish finish;
+  finish.request_ = aRequest;
+  finish.outcome_ = wire::OUTCOME_NOT_RUN;
+  finish.sqlstate_ = "08P01";
+  finish.transactionStatus_ =
+    aSession.pinned_ != 0 ? 'T' : (aSession.aborted_ ? 'E' : 'I');
+  finish.message_ = "a later statement of the session is running";
+  Emit(aContext, std::move(finish));
+}
+
 // The transaction of the session as its owner knows it, open or aborted; 0 for
 // none.
 std::uint64_t
@@ -186,16 +215,11 @@
   Session& session = group.sessions_[aEvent.id_.session_];
   session.id_ = aEvent.id_.session_;
   if (session.current_) {
-    ++aContext.counters_.notRun_;
-    Finish finish;
-    finish.request_ = aEvent.id_;
-    finish.outcome_ = wire::OUTCOME_NOT_RUN;
-    finish.sqlstate_ = "08P01";
-    finish.transactionStatus_ =
-      session.pinned_ != 0 ? 'T' : (session.aborted_ ? 'E' : 'I');
-    finish.message_ = "the session's previous statement is still running";
-    Emit(aContext, std::move(finish));
-    return;
+    if (aEvent.id_.request_ <= session.current_->id_.request_) {
+      RefuseLateRequest(aContext, session, aEvent.id_);
+      return;
+    }
+    DropCurrentRequest(aContext, session);
   }
   session.current_ = MakeRequest(aEvent, aContext.now_);
   Request& request = *session.current_;
@@ -243,9 +267,7 @@
   }
   Session& session = found->second;
   if (session.current_) {
-    Unqueue(*session.current_);
-    DetachRequest(aContext, *session.current_, true);
-    session.current_.reset();
+    DropCurrentRequest(aContext, session);
   }
   AbortTransaction(aContext, session);
   group.sessions_.erase(aEvent.session_);
--- a/packages/core/traffic/tests/transactions_tests.cpp
+++ b/packages/core/traffic/tests/transactions_tests.cpp
@@ -119,4 +119,59 @@
   CHECK(group.Violations().empty());
 }
 
+TEST_CASE("a request that its entry host has given up does not block the next "
+          "one",
+          "[transactions]")
+{
+  struct Row
+  {
+    wire::StatementClass class_;
+    bool inTransaction_;
+    Duration givenUpAfter_;
+  };
+  // After 1 ms it runs at the target, after 6 ms a write waits for a majority.
+  const auto row = GENERATE(values<Row>({
+    { kWrite, false, 0ms },
+    { kWrite, false, 1ms },
+    { kWrite, false, 6ms },
+    { kRead, false, 1ms },
+    { kBegin, false, 1ms },
+    { kWrite, true, 1ms },
+    { kCommit, true, 1ms },
+    { kCommit, true, 6ms },
+  }));
+  Settings settings;
+  FakeGroup group(settings, 3, 3);
+  group.SetUp();
+  group.Target(1).lag_ = group.Target(2).lag_ = 40ms;
+  if (row.inTransaction_) {
+    BeginTransaction(group, State::Written);
+  }
+  group.Send({ .class_ = row.class_ });
+  group.Run(row.givenUpAfter_);
+  group.GiveUp(1);
+  const Finish next = group.Do({ .class_ = kWrite });
+  CHECK(next.outcome_ == kDone);
+  CHECK(next.transactionStatus_ == 'I');
+  CHECK(group.CountUnfinished({}) == 0);
+  CHECK(group.Violations().empty());
+}
+
+TEST_CASE("a late request is refused and does not disturb a later one",
+          "[transactions]")
+{
+  FakeGroup group(Settings{}, 3, 3);
+  group.SetUp();
+  const RequestId later = group.Send({ .class_ = kWrite });
+  RequestArrived late;
+  late.id_ = { later.session_, later.request_ - 1 };
+  late.deadline_ = group.Now() + 1s;
+  std::vector<TrafficAction> actions;
+  Step(group.state_, late, group.Now(), actions);
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<Finish>(actions[0]).sqlstate_ == "08P01");
+  group.Run(100ms);
+  CHECK(group.results_.at(later).finish_.outcome_ == kDone);
+}
+
 } // namespace wigeonlb::core::traffic::tests
