Entry hosts tell owners what they gave up until the owners have heard it

Cause: an entry host sent one ForwardClose for a transaction that it gave up, over the link that it had just found lost, none for a BEGIN or a read that it handed on or for a write, and none for an idle transaction until its next statement. An owner forgot a closed session, so that a BEGIN that arrived after its close ran. A close named no request: a late one would have ended a later transaction.

Change: a close names the last request that it covers. An owner leaves later ones alone, keeps the number for 10 s and drops what arrives late, and confirms. Old hosts ignore the new fields and close the whole session, as before.

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -384,6 +384,7 @@
     case Body::kForwardCredit:
     case Body::kForwardCancel:
     case Body::kForwardClose:
+    case Body::kForwardClosed:
       traffic_.OnPeerMessage(std::move(aMessage));
       return;
     default:
--- a/apps/wigeonlbd/tests/ownedsessions_tests.cpp
+++ b/apps/wigeonlbd/tests/ownedsessions_tests.cpp
@@ -4,6 +4,8 @@
 
 namespace wigeonlb::daemon::traffic {
 
+using namespace std::chrono_literals;
+
 namespace {
 
 wire::ForwardRequest
@@ -43,4 +45,62 @@
   CHECK(session.request_.request() == (row.isTaken_ ? row.next_ : row.last_));
 }
 
+TEST_CASE("a close ends the requests that it names and those that arrive late",
+          "[ownedsessions]")
+{
+  struct Row
+  {
+    std::uint64_t last_; //!< 0: the session was not known
+    std::uint64_t closed_;
+    bool isClosed_;
+    std::uint64_t next_;
+    bool isTaken_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { 3, 3, true, 3, false },
+    { 3, 3, true, 4, true },
+    { 3, 5, true, 5, false },
+    { 3, 5, true, 6, true },
+    { 3, 2, false, 3, false },
+    { 3, 0, true, 3, false },
+    { 3, 0, true, 4, true },
+    { 0, 3, true, 3, false },
+    { 0, 3, true, 4, true },
+  }));
+  OwnedSessions sessions;
+  OwnedSession& session = sessions.GetOrCreate({ "h", 1, 1 });
+  if (row.last_ != 0) {
+    REQUIRE(BeginRequest(session, MakeRequest(row.last_)));
+  }
+  CHECK(CloseRequests(session, row.closed_) == row.isClosed_);
+  CHECK(BeginRequest(session, MakeRequest(row.next_)) == row.isTaken_);
+}
+
+TEST_CASE("a session that is not in use is forgotten after its lifetime",
+          "[ownedsessions]")
+{
+  struct Row
+  {
+    bool running_;
+    bool inTransaction_;
+    foundation::Duration later_;
+    bool isKept_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { false, false, kIdleSessionLifetimeMs, true },
+    { false, false, kIdleSessionLifetimeMs + 1ms, false },
+    { true, false, kIdleSessionLifetimeMs + 1ms, true },
+    { false, true, kIdleSessionLifetimeMs + 1ms, true },
+  }));
+  const SessionKey key("h", 1, 1);
+  const foundation::Instant start = foundation::SteadyNow();
+  OwnedSessions sessions;
+  OwnedSession& session = sessions.GetOrCreate(key);
+  session.running_ = row.running_;
+  session.inTransaction_ = row.inTransaction_;
+  sessions.OnUsed(session, start);
+  sessions.OnUsed(sessions.GetOrCreate({ "h", 1, 2 }), start + row.later_);
+  CHECK((sessions.Find(key) != nullptr) == row.isKept_);
+}
+
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/tests/shardfixture.cpp
+++ b/apps/wigeonlbd/tests/shardfixture.cpp
@@ -95,18 +95,58 @@
     std::find_if(port_.sent_.begin(), port_.sent_.end(), isRequest);
   auto request = std::make_pair(found->first, found->second.forward_request());
   port_.sent_.erase(found);
+  sessionNumber_ = request.second.session();
   return request;
 }
 
-bool
-ShardFixture::WaitForClose(const foundation::HostId& aHost)
+std::uint64_t
+ShardFixture::BeginTransaction()
 {
-  return RunUntil([&] {
-    return std::any_of(
-      port_.sent_.begin(), port_.sent_.end(), [&](const auto& aSent) {
-        return aSent.first == aHost && aSent.second.has_forward_close();
-      });
-  });
+  Query("BEGIN");
+  const auto [host, begin] = NextRequest();
+  REQUIRE(host == "h1");
+  wire::ForwardEnd end = MakeEnd(begin, wire::OUTCOME_DONE);
+  end.set_transaction_status("T");
+  SendEnd(end);
+  ReadUntil(Frame("Z", "T"));
+  return begin.request();
+}
+
+std::optional<wire::ForwardClose>
+ShardFixture::NextClose(const foundation::HostId& aHost,
+                        std::chrono::milliseconds aTimeout)
+{
+  const auto isClose = [&](const auto& aSent) {
+    return aSent.first == aHost && aSent.second.has_forward_close();
+  };
+  const auto find = [&] { return std::ranges::find_if(port_.sent_, isClose); };
+  if (!RunUntil([&] { return find() != port_.sent_.end(); }, aTimeout)) {
+    return std::nullopt;
+  }
+  const wire::ForwardClose close = find()->second.forward_close();
+  port_.sent_.erase(find());
+  return close;
+}
+
+void
+ShardFixture::ConfirmClose(const foundation::HostId& aFrom,
+                           std::uint64_t aRequest)
+{
+  wire::PeerMessage message;
+  message.set_from(aFrom);
+  wire::ForwardClosed& closed = *message.mutable_forward_closed();
+  closed.set_session(sessionNumber_);
+  closed.set_group("g");
+  closed.set_request(aRequest);
+  shard_->OnPeerMessage(std::move(message));
+}
+
+void
+ShardFixture::AnswerNotOwner(const wire::ForwardRequest& aRequest)
+{
+  wire::ForwardEnd end = MakeEnd(aRequest, wire::OUTCOME_NOT_RUN);
+  end.set_not_owner(true);
+  SendEnd(end);
 }
 
 std::string
@@ -133,10 +173,11 @@
 }
 
 bool
-ShardFixture::RunUntil(const std::function<bool()>& aCondition)
+ShardFixture::RunUntil(const std::function<bool()>& aCondition,
+                       std::chrono::milliseconds aTimeout)
 {
-  constexpr int kTries = 10000;
-  for (int tries = 0; tries < kTries && !aCondition(); ++tries) {
+  const foundation::Instant end = foundation::SteadyNow() + aTimeout;
+  while (!aCondition() && foundation::SteadyNow() < end) {
     context_.restart();
     context_.run_one_for(std::chrono::milliseconds(1));
   }
--- a/apps/wigeonlbd/tests/shardfixture.h
+++ b/apps/wigeonlbd/tests/shardfixture.h
@@ -52,9 +52,15 @@
   //! Runs until the next request is sent to an owner. Returns that host and the
   //! request.
   std::pair<foundation::HostId, wire::ForwardRequest> NextRequest();
-  //! Runs until a ForwardClose was sent to the host. Returns false on a
+  //! Begins a transaction at `h1`. Returns the number of its request.
+  std::uint64_t BeginTransaction();
+  //! Runs until a ForwardClose is sent to the host and returns it; empty on a
   //! timeout.
-  bool WaitForClose(const foundation::HostId& aHost);
+  std::optional<wire::ForwardClose> NextClose(
+    const foundation::HostId& aHost,
+    std::chrono::milliseconds aTimeout = std::chrono::seconds(10));
+  void ConfirmClose(const foundation::HostId& aFrom, std::uint64_t aRequest);
+  void AnswerNotOwner(const wire::ForwardRequest& aRequest);
   //! Runs until the caller has read aText or its connection has ended. Returns
   //! all that was read since the last call.
   std::string ReadUntil(const std::string& aText);
@@ -72,13 +78,15 @@
   boost::asio::ip::tcp::socket client_;
 
 private:
-  bool RunUntil(const std::function<bool()>& aCondition);
+  bool RunUntil(const std::function<bool()>& aCondition,
+                std::chrono::milliseconds aTimeout = std::chrono::seconds(10));
   void ReadAvailable();
 
   foundation::MetricsRegistry registry_;
   TrafficMetrics metrics_;
   MockOwnerListener listener_;
   std::unique_ptr<caller::CallerServer> server_;
+  std::uint64_t sessionNumber_ = 0; //!< of the last request
   std::string received_;
   bool ended_ = false;
 };
--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -126,12 +126,7 @@
   ShardFixture fixture;
   fixture.Connect();
   if (row.inTransaction_) {
-    fixture.Query("BEGIN");
-    const auto [host, begin] = fixture.NextRequest();
-    wire::ForwardEnd end = fixture.MakeEnd(begin, wire::OUTCOME_DONE);
-    end.set_transaction_status("T");
-    fixture.SendEnd(end);
-    fixture.ReadUntil(kReady);
+    fixture.BeginTransaction();
   }
   fixture.Query(row.sql_);
   const auto [host, request] = fixture.NextRequest();
@@ -154,12 +149,7 @@
 {
   ShardFixture fixture;
   fixture.Connect();
-  fixture.Query("BEGIN");
-  const auto [host, begin] = fixture.NextRequest();
-  wire::ForwardEnd end = fixture.MakeEnd(begin, wire::OUTCOME_DONE);
-  end.set_transaction_status("T");
-  fixture.SendEnd(end);
-  fixture.ReadUntil(kReady);
+  fixture.BeginTransaction();
   fixture.shard_->OnHostLost("h1");
   fixture.Query("INSERT INTO t VALUES (1)");
   CHECK(fixture.ReadUntil(kReady).find("40003") != std::string::npos);
@@ -187,6 +177,54 @@
   CHECK_FALSE(read.needs_fresh_floor());
 }
 
+TEST_CASE(
+  "an owner is told again what was given up until it confirms it or gets "
+  "a later request",
+  "[entrysession]")
+{
+  struct Row
+  {
+    std::string sql_;
+    bool inTransaction_;
+    bool confirmed_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "BEGIN", false, true },
+    { "BEGIN", false, false },
+    { "SELECT n FROM t", false, true },
+    { "INSERT INTO t VALUES (1)", false, true },
+    { "INSERT INTO t VALUES (1)", true, true },
+    { "", true, true },
+  }));
+  ShardFixture fixture;
+  fixture.Connect();
+  std::uint64_t last = 0;
+  if (row.inTransaction_) {
+    last = fixture.BeginTransaction();
+  }
+  if (!row.sql_.empty()) {
+    fixture.Query(row.sql_);
+    last = fixture.NextRequest().second.request();
+  }
+  fixture.shard_->OnHostLost("h1");
+  for (int times = 0; times < 2; ++times) {
+    const auto close = fixture.NextClose("h1");
+    REQUIRE(close.has_value());
+    CHECK(close->request() == last);
+    CHECK(close->confirm());
+  }
+  if (row.confirmed_) {
+    fixture.ConfirmClose("h1", last);
+  } else {
+    fixture.AnswerNotOwner(fixture.NextRequest().second);
+    fixture.ReadUntil(kReady);
+    fixture.Query("SELECT n FROM t");
+    CHECK(fixture.NextRequest().first == "h1");
+  }
+  fixture.port_.sent_.clear();
+  CHECK_FALSE(fixture.NextClose("h1", std::chrono::milliseconds(1000)));
+}
+
 TEST_CASE("a disconnect closes the session at every owner that it used",
           "[entrysession]")
 {
@@ -197,8 +235,8 @@
   fixture.shard_->OnHostLost("h1");
   fixture.NextRequest();
   fixture.client_.close();
-  CHECK(fixture.WaitForClose("h1"));
-  CHECK(fixture.WaitForClose("h2"));
+  CHECK(fixture.NextClose("h1"));
+  CHECK(fixture.NextClose("h2"));
 }
 
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -220,9 +220,9 @@
 EntrySession::TryOwner(const foundation::HostId& aOwner)
 {
   owner_ = aOwner;
-  if (std::find(usedOwners_.begin(), usedOwners_.end(), aOwner) ==
-      usedOwners_.end()) {
-    usedOwners_.push_back(aOwner);
+  const SessionAtOwner at = GetSessionAt(aOwner);
+  if (std::ranges::find(usedOwners_, at) == usedOwners_.end()) {
+    usedOwners_.push_back(at);
   }
   // Each attempt has its own number, so that late answers to earlier attempts
   // are recognised.
@@ -234,7 +234,11 @@
     static_cast<std::uint64_t>(GetRemainingTime().count()));
   wire::PeerMessage message;
   *message.mutable_forward_request() = request_;
-  return !context_.port_->SendForward(aOwner, std::move(message));
+  if (context_.port_->SendForward(aOwner, std::move(message))) {
+    return false;
+  }
+  context_.closes_->OnRequestSent(at);
+  return true;
 }
 
 void
@@ -341,7 +345,7 @@
   }
   // The owner has not reported an outcome: the owner or the link to it has
   // failed.
-  CloseSessionAt(owner_);
+  GiveUpAt(owner_);
   AbandonRequest({ GetOwnerLostSqlstate(),
                    "outcome unknown: no answer from host " + owner_ +
                      " within the deadline" });
@@ -353,13 +357,13 @@
   if (transactionOwner_ == aHost) {
     const bool committing =
       waiting_ && request_.statement_class() == wire::STATEMENT_COMMIT;
+    // The owner may still be running if only the link was lost. It must not
+    // keep the transaction open.
+    GiveUpAt(aHost);
     if (!waiting_) {
       transactionLost_ = true; // reported on the next statement
       return;
     }
-    // The owner may still be running if only the link was lost. It must not
-    // keep the transaction open.
-    CloseSessionAt(aHost);
     AbandonRequest(committing
                      ? LocalError{ sqlstates::kOutcomeUnknown,
                                    "outcome unknown: host " + aHost +
@@ -372,6 +376,7 @@
   if (!waiting_ || owner_ != aHost) {
     return;
   }
+  GiveUpAt(aHost);
   const bool begins = request_.statement_class() == wire::STATEMENT_BEGIN ||
                       request_.statement_class() == wire::STATEMENT_BEGIN_READ;
   if (begins || (IsRead() && receivedPieces_ == 0)) {
@@ -401,20 +406,28 @@
 void
 EntrySession::OnClosed()
 {
+  const bool hasOutstanding = waiting_ || InTransaction();
   waiting_ = false;
   deadlineTimer_.cancel();
-  for (const foundation::HostId& owner : usedOwners_) {
-    CloseSessionAt(owner);
+  for (const SessionAtOwner& at : usedOwners_) {
+    if (hasOutstanding && at == GetSessionAt(owner_)) {
+      context_.closes_->GiveUp(at, request_.request());
+    } else {
+      context_.closes_->Close(at, request_.request());
+    }
   }
 }
 
+SessionAtOwner
+EntrySession::GetSessionAt(const foundation::HostId& aOwner) const
+{
+  return { aOwner, group_, number_ };
+}
+
 void
-EntrySession::CloseSessionAt(const foundation::HostId& aOwner)
+EntrySession::GiveUpAt(const foundation::HostId& aOwner)
 {
-  wire::PeerMessage message;
-  message.mutable_forward_close()->set_session(number_);
-  message.mutable_forward_close()->set_group(group_);
-  (void)context_.port_->SendForward(aOwner, std::move(message));
+  context_.closes_->GiveUp(GetSessionAt(aOwner), request_.request());
 }
 
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -11,6 +11,7 @@
 #include "core/classification/classificationcache.h"
 #include "forward.pb.h"
 #include "foundation/clock.h"
+#include "traffic/closenotifier.h"
 #include "traffic/forwardport.h"
 #include "traffic/requestlog.h"
 #include "traffic/routingtable.h"
@@ -27,6 +28,7 @@
   foundation::DataCentre dataCentre_;
   foundation::Duration statementDeadline_{ 0 };
   ForwardPort* port_ = nullptr;
+  CloseNotifier* closes_ = nullptr;
   const caller::Protocol* protocol_ = &caller::PostgresqlProtocol();
   core::classification::ClassificationCache* cache_ = nullptr;
   TrafficMetrics* metrics_ = nullptr;
@@ -123,7 +125,9 @@
   void AnswerOutcome(const wire::ForwardEnd& aEnd);
   void RaiseSessionFloor(const wire::LogPosition& aPosition);
   void SendCredit();
-  void CloseSessionAt(const foundation::HostId& aOwner);
+  SessionAtOwner GetSessionAt(const foundation::HostId& aOwner) const;
+  //! Tells the owner that its requests of this session are given up.
+  void GiveUpAt(const foundation::HostId& aOwner);
   foundation::Duration GetRemainingTime() const;
   bool IsRead() const;
   std::string_view GetOwnerLostSqlstate() const;
@@ -163,7 +167,7 @@
   //! The owner of the open transaction was lost between two statements.
   bool transactionLost_ = false;
   caller::TransactionStatus status_ = caller::TransactionStatus::Idle;
-  std::vector<foundation::HostId> usedOwners_;
+  std::vector<SessionAtOwner> usedOwners_;
 };
 
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/ownedsessions.cpp
+++ b/apps/wigeonlbd/traffic/ownedsessions.cpp
@@ -46,6 +46,20 @@
   }
 }
 
+void
+OwnedSessions::OnUsed(OwnedSession& aSession, foundation::Instant aNow)
+{
+  aSession.idleHook_.unlink();
+  aSession.lastUsedAt_ = aNow;
+  if (!aSession.running_ && !aSession.inTransaction_) {
+    idle_.push_back(aSession);
+  }
+  while (!idle_.empty() &&
+         aNow - idle_.front().lastUsedAt_ > kIdleSessionLifetimeMs) {
+    Erase(SessionKey(idle_.front().key_));
+  }
+}
+
 std::vector<SessionKey>
 OwnedSessions::FindKeys(const foundation::HostId& aHost,
                         std::uint64_t aKeepBoot) const
@@ -92,6 +106,18 @@
   return true;
 }
 
+bool
+CloseRequests(OwnedSession& aSession, std::uint64_t aRequest)
+{
+  const std::uint64_t last = aSession.request_.request();
+  if (aRequest != 0 && aRequest < last) {
+    return false;
+  }
+  aSession.request_.Clear();
+  aSession.request_.set_request(std::max(aRequest, last));
+  return true;
+}
+
 core::traffic::RequestArrived
 MakeArrival(const OwnedSession& aSession, foundation::Instant aNow)
 {
--- a/apps/wigeonlbd/traffic/ownedsessions.h
+++ b/apps/wigeonlbd/traffic/ownedsessions.h
@@ -7,6 +7,8 @@
 #include <tuple>
 #include <vector>
 
+#include <boost/intrusive/list.hpp>
+
 #include "core/traffic/actions.h"
 #include "core/traffic/events.h"
 #include "core/traffic/trafficstate.h"
@@ -19,6 +21,11 @@
 //! that host and the session number on it.
 using SessionKey = std::tuple<foundation::HostId, std::uint64_t, std::uint64_t>;
 
+//! How long a session without a running request and a transaction is kept, so
+//! that requests which arrive late are known as such.
+inline constexpr foundation::Duration kIdleSessionLifetimeMs =
+  std::chrono::milliseconds(10000);
+
 //! A session of an entry host that has used this owner.
 struct OwnedSession
 {
@@ -35,6 +42,11 @@
   std::uint64_t consumedBytes_ = 0;
   std::uint64_t nextPiece_ = 0;
   core::traffic::ConnectionId pausedConnection_ = 0;
+  foundation::Instant lastUsedAt_;
+  //! Link in the list of idle sessions.
+  boost::intrusive::list_member_hook<
+    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+    idleHook_;
 };
 
 //! The sessions that have used one owner group.
@@ -47,7 +59,9 @@
   //! Returns the session in which this request runs; null if it has ended or
   //! was replaced by a later one.
   OwnedSession* FindRunning(const core::traffic::RequestId& aRequest);
-  void Erase(const SessionKey& aKey);
+  //! A request of the session began or ended, or the session was closed. Erases
+  //! sessions that have been idle for kIdleSessionLifetimeMs.
+  void OnUsed(OwnedSession& aSession, foundation::Instant aNow);
 
   //! Keys of the sessions of a host, except those of its boot aKeepBoot.
   std::vector<SessionKey> FindKeys(const foundation::HostId& aHost,
@@ -58,7 +72,17 @@
   std::size_t RunningCount() const;
 
 private:
+  using IdleList = boost::intrusive::list<
+    OwnedSession,
+    boost::intrusive::member_hook<OwnedSession,
+                                  decltype(OwnedSession::idleHook_),
+                                  &OwnedSession::idleHook_>,
+    boost::intrusive::constant_time_size<false>>;
+
+  void Erase(const SessionKey& aKey);
+
   std::map<SessionKey, OwnedSession> sessions_;
+  IdleList idle_; //!< the longest idle first
   std::map<core::traffic::SessionId, SessionKey> keys_;
   core::traffic::SessionId nextId_ = 1;
 };
@@ -69,6 +93,11 @@
 bool
 BeginRequest(OwnedSession& aSession, wire::ForwardRequest&& aRequest);
 
+//! Closes the session's requests up to a number, 0 for all of them. Returns
+//! false, without a change, if a later one has arrived.
+bool
+CloseRequests(OwnedSession& aSession, std::uint64_t aRequest);
+
 //! Builds the core event for the session's current request, arriving now.
 core::traffic::RequestArrived
 MakeArrival(const OwnedSession& aSession, foundation::Instant aNow);
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -84,6 +84,7 @@
   if (!BeginRequest(session, std::move(aRequest))) {
     return; // late or duplicate
   }
+  sessions_.OnUsed(session, SteadyNow());
   session.openTransaction_ =
     core_traffic::FindTransaction(state_, session.id_, SteadyNow());
   LogIfTransactionDiffers(session);
@@ -126,24 +127,34 @@
 void
 OwnerGroup::OnClose(const foundation::HostId& aFrom,
                     std::uint64_t aBoot,
-                    std::uint64_t aSession)
+                    const wire::ForwardClose& aClose)
 {
-  const SessionKey key(aFrom, aBoot, aSession);
-  const OwnedSession* const session = sessions_.Find(key);
-  if (session == nullptr) {
-    return;
+  // Created if there is none, so that a request that is on its way is known to
+  // be late.
+  OwnedSession& session =
+    sessions_.GetOrCreate(SessionKey(aFrom, aBoot, aClose.session()));
+  if (CloseRequests(session, aClose.request())) {
+    CloseSession(session);
   }
-  const core_traffic::SessionId id = session->id_;
-  sessions_.Erase(key);
-  Feed(core_traffic::SessionClosed{ id });
+  sessions_.OnUsed(session, SteadyNow());
+}
+
+void
+OwnerGroup::CloseSession(OwnedSession& aSession)
+{
+  aSession.running_ = false;
+  aSession.inTransaction_ = false;
+  Feed(core_traffic::SessionClosed{ aSession.id_ });
 }
 
 void
 OwnerGroup::OnHostLost(const foundation::HostId& aHost, std::uint64_t aKeepBoot)
 {
-  for (const auto& [host, boot, session] :
-       sessions_.FindKeys(aHost, aKeepBoot)) {
-    OnClose(host, boot, session);
+  for (const SessionKey& key : sessions_.FindKeys(aHost, aKeepBoot)) {
+    if (OwnedSession* const session = sessions_.Find(key)) {
+      CloseSession(*session);
+      sessions_.OnUsed(*session, SteadyNow());
+    }
   }
 }
 
@@ -435,6 +446,7 @@
   // If the host is unreachable, OnHostLost closes its sessions.
   (void)port_.SendForward(std::get<0>(session->key_), std::move(message));
   session->request_.clear_statement();
+  sessions_.OnUsed(*session, SteadyNow());
 }
 
 void
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -72,7 +72,7 @@
                 const wire::ForwardCancel& aCancel);
   void OnClose(const foundation::HostId& aFrom,
                std::uint64_t aBoot,
-               std::uint64_t aSession);
+               const wire::ForwardClose& aClose);
   //! Closes the sessions of an entry host, except those of its boot aKeepBoot.
   //! 0 closes all of them: the host was lost.
   void OnHostLost(const foundation::HostId& aHost, std::uint64_t aKeepBoot);
@@ -101,6 +101,7 @@
                       const std::optional<foundation::LogPosition>& aPosition,
                       std::string aHeldEnd) override;
 
+  void CloseSession(OwnedSession& aSession);
   void Feed(core::traffic::TrafficEvent aEvent);
   void SetTimer();
   void Execute(const core::traffic::OpenConnection& aAction);
--- a/apps/wigeonlbd/traffic/trafficruntime.cpp
+++ b/apps/wigeonlbd/traffic/trafficruntime.cpp
@@ -125,6 +125,8 @@
       return GetSessionThread(aMessage.forward_frames().session());
     case Body::kForwardEnd:
       return GetSessionThread(aMessage.forward_end().session());
+    case Body::kForwardClosed:
+      return GetSessionThread(aMessage.forward_closed().session());
     case Body::kForwardCredit:
       return GetGroupThread(aMessage.forward_credit().group());
     case Body::kForwardCancel:
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -39,10 +39,12 @@
   , cache_(settings_.cachedStatements_,
            kCachedStatementBytes,
            settings_.classify_)
+  , closes_(aContext, *settings_.entry_.port_)
   , entry_(settings_.entry_)
   , sweepTimer_(aContext)
 {
   entry_.cache_ = &cache_;
+  entry_.closes_ = &closes_;
   entry_.protocol_ = settings_.protocols_.callers_;
 }
 
@@ -131,6 +133,10 @@
     }
     return;
   }
+  if (aMessage.has_forward_closed()) {
+    closes_.OnClosed(aMessage.from(), aMessage.forward_closed());
+    return;
+  }
   OnOwnerMessage(aMessage);
 }
 
@@ -165,6 +171,7 @@
   const auto found = owners_.find(*group);
   if (found == owners_.end()) {
     AnswerNotOwner(aMessage);
+    ConfirmClose(aMessage);
     return;
   }
   OwnerGroup& owner = *found->second;
@@ -179,8 +186,25 @@
   } else if (aMessage.has_forward_cancel()) {
     owner.OnCancel(aMessage.from(), boot, aMessage.forward_cancel());
   } else {
-    owner.OnClose(aMessage.from(), boot, aMessage.forward_close().session());
+    owner.OnClose(aMessage.from(), boot, aMessage.forward_close());
+    ConfirmClose(aMessage);
+  }
+}
+
+void
+TrafficShard::ConfirmClose(const wire::PeerMessage& aMessage)
+{
+  if (!aMessage.has_forward_close() || !aMessage.forward_close().confirm()) {
+    return;
   }
+  const wire::ForwardClose& close = aMessage.forward_close();
+  wire::PeerMessage answer;
+  wire::ForwardClosed& closed = *answer.mutable_forward_closed();
+  closed.set_session(close.session());
+  closed.set_group(close.group());
+  closed.set_request(close.request());
+  // If it is lost, the close is sent again.
+  (void)entry_.port_->SendForward(aMessage.from(), std::move(answer));
 }
 
 void
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -94,6 +94,7 @@
 private:
   void OnOwnerMessage(const wire::PeerMessage& aMessage);
   void AnswerNotOwner(const wire::PeerMessage& aMessage);
+  void ConfirmClose(const wire::PeerMessage& aMessage);
   bool IsRefusedWhileRetiring(const OwnerGroup& aOwner,
                               const foundation::GroupName& aGroup,
                               const wire::PeerMessage& aMessage) const;
@@ -105,6 +106,7 @@
   ShardSettings settings_;
   OwnerGroupListener& listener_;
   core::classification::ClassificationCache cache_;
+  CloseNotifier closes_;
   EntryContext entry_;
   std::uint64_t nextNumber_ = 1;
   std::unordered_map<std::uint64_t, std::unique_ptr<EntrySession>> entries_;
--- a/packages/peer/internal/messageclass.cpp
+++ b/packages/peer/internal/messageclass.cpp
@@ -12,6 +12,7 @@
     case wire::PeerMessage::kForwardCredit:
     case wire::PeerMessage::kForwardCancel:
     case wire::PeerMessage::kForwardClose:
+    case wire::PeerMessage::kForwardClosed:
       return TrafficClass::Forward;
     default:
       return TrafficClass::Control;
--- a/packages/peer/tests/messageclass_tests.cpp
+++ b/packages/peer/tests/messageclass_tests.cpp
@@ -24,6 +24,9 @@
     { [](Message& aMessage) { aMessage.mutable_forward_close(); },
       TrafficClass::Forward,
       SnapshotKind::None },
+    { [](Message& aMessage) { aMessage.mutable_forward_closed(); },
+      TrafficClass::Forward,
+      SnapshotKind::None },
     { [](Message& aMessage) {
        aMessage.mutable_consensus()->mutable_append_request();
      },
