A transaction ends at once when its owner no longer is one

What callers saw: no answer to a statement in a transaction until its deadline, then 08007 or 40003, and both hosts busy meanwhile.

Cause: "not the owner" sent a statement on to the next owner; inside a transaction that is the same host again, without end.

Change: such an owner has no connection of the transaction left, so it was rolled back: 40003, also for a COMMIT.

--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -144,6 +144,21 @@
   CHECK(answer.substr(answer.size() - 1) == "I");
 }
 
+TEST_CASE("a transaction ends when its owner is no longer the owner",
+          "[entrysession]")
+{
+  const std::string sql =
+    GENERATE("INSERT INTO t VALUES (1)", "SELECT n FROM t", "COMMIT");
+  ShardFixture fixture;
+  fixture.Connect();
+  fixture.BeginTransaction();
+  fixture.Query(sql);
+  fixture.AnswerNotOwner(fixture.NextRequest().second);
+  const std::string answer = fixture.ReadUntil(kReady);
+  CHECK(answer.find("40003") != std::string::npos);
+  CHECK(answer.ends_with("I"));
+}
+
 TEST_CASE("a statement fails if the transaction's owner was lost before it",
           "[entrysession]")
 {
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -288,6 +288,12 @@
   if (!waiting_ || aEnd.request() != request_.request()) {
     return;
   }
+  if (aEnd.not_owner() && InTransaction()) {
+    AbandonRequest({ sqlstates::kTransactionLost,
+                     "the transaction was rolled back: host " + owner_ +
+                       " is no longer an owner of the group" });
+    return;
+  }
   if (aEnd.not_owner()) {
     refusal_ = aEnd.message();
     Log(RequestEvent::HandedOn,
