A retiring owner takes only requests of the transaction that it has open

What callers saw: nothing traced; suspected. While an owner hands its group over, a statement outside any transaction could be taken in because the owner still had one open that its entry host had given up.

Cause: IsRefusedWhileRetiring looked at the owner's view alone.

Change: the number of the transaction decides; what the session still has there is closed, and the request is told "not the owner". OwnedSession keeps the number in place of a yes or no.

--- a/apps/wigeonlbd/tests/ownedsessions_tests.cpp
+++ b/apps/wigeonlbd/tests/ownedsessions_tests.cpp
@@ -82,25 +82,73 @@
   struct Row
   {
     bool running_;
-    bool inTransaction_;
+    std::uint64_t transaction_;
     foundation::Duration later_;
     bool isKept_;
   };
   const auto row = GENERATE(values<Row>({
-    { false, false, kIdleSessionLifetimeMs, true },
-    { false, false, kIdleSessionLifetimeMs + 1ms, false },
-    { true, false, kIdleSessionLifetimeMs + 1ms, true },
-    { false, true, kIdleSessionLifetimeMs + 1ms, true },
+    { false, 0, kIdleSessionLifetimeMs, true },
+    { false, 0, kIdleSessionLifetimeMs + 1ms, false },
+    { true, 0, kIdleSessionLifetimeMs + 1ms, true },
+    { false, 3, kIdleSessionLifetimeMs + 1ms, true },
   }));
   const SessionKey key("h", 1, 1);
   const foundation::Instant start = foundation::SteadyNow();
   OwnedSessions sessions;
   OwnedSession& session = sessions.GetOrCreate(key);
   session.running_ = row.running_;
-  session.inTransaction_ = row.inTransaction_;
+  session.transaction_ = row.transaction_;
   sessions.OnUsed(session, start);
   sessions.OnUsed(sessions.GetOrCreate({ "h", 1, 2 }), start + row.later_);
   CHECK((sessions.Find(key) != nullptr) == row.isKept_);
 }
 
+TEST_CASE("only a request of the open transaction continues it",
+          "[ownedsessions]")
+{
+  // Without a value, the entry host does not tell the transaction.
+  using Number = std::optional<std::uint64_t>;
+  struct Row
+  {
+    std::vector<std::pair<Number, char>> ended_; //!< with the status after it
+    Number next_;
+    bool continues_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { {}, std::nullopt, false },
+    { {}, 1, false },
+    { { { 0, 'I' } }, 1, false },
+    { { { 0, 'T' } }, 1, true },
+    { { { 0, 'T' } }, 0, false },
+    { { { 0, 'T' } }, 2, false },
+    { { { 0, 'T' } }, std::nullopt, true },
+    { { { 0, 'T' }, { 1, 'T' } }, 1, true },
+    { { { 0, 'T' }, { 1, 'E' } }, 1, true },
+    { { { 0, 'T' }, { 1, 'I' } }, 1, false },
+    { { { 0, 'T' }, { 0, 'T' } }, 1, false },
+    { { { 0, 'T' }, { 0, 'T' } }, 2, true },
+    { { { 0, 'T' }, { 9, 'E' } }, 9, true },
+    { { { std::nullopt, 'T' } }, std::nullopt, true },
+    { { { std::nullopt, 'T' }, { std::nullopt, 'T' } }, std::nullopt, true },
+    { { { std::nullopt, 'T' }, { std::nullopt, 'I' } }, std::nullopt, false },
+  }));
+  const SessionKey key("h", 1, 1);
+  OwnedSessions sessions;
+  OwnedSession& session = sessions.GetOrCreate(key);
+  std::uint64_t number = 0;
+  const auto makeRequest = [&](const Number& aTransaction) {
+    wire::ForwardRequest request = MakeRequest(++number);
+    if (aTransaction) {
+      request.set_transaction(*aTransaction);
+    }
+    return request;
+  };
+  for (const auto& [transaction, status] : row.ended_) {
+    REQUIRE(BeginRequest(session, makeRequest(transaction)));
+    EndRequest(session, status);
+  }
+  CHECK(sessions.ContinuesTransaction(key, makeRequest(row.next_)) ==
+        row.continues_);
+}
+
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/ownedsessions.cpp
+++ b/apps/wigeonlbd/traffic/ownedsessions.cpp
@@ -51,7 +51,7 @@
 {
   aSession.idleHook_.unlink();
   aSession.lastUsedAt_ = aNow;
-  if (!aSession.running_ && !aSession.inTransaction_) {
+  if (!aSession.running_ && aSession.transaction_ == 0) {
     idle_.push_back(aSession);
   }
   while (!idle_.empty() &&
@@ -74,10 +74,15 @@
 }
 
 bool
-OwnedSessions::InTransaction(const SessionKey& aKey) const
+OwnedSessions::ContinuesTransaction(const SessionKey& aKey,
+                                    const wire::ForwardRequest& aRequest) const
 {
   const auto found = sessions_.find(aKey);
-  return found != sessions_.end() && found->second.inTransaction_;
+  if (found == sessions_.end() || found->second.transaction_ == 0) {
+    return false;
+  }
+  return !aRequest.has_transaction() ||
+         aRequest.transaction() == found->second.transaction_;
 }
 
 std::size_t
@@ -85,7 +90,7 @@
 {
   return static_cast<std::size_t>(
     std::count_if(sessions_.begin(), sessions_.end(), [](const auto& aItem) {
-      return aItem.second.running_ || aItem.second.inTransaction_;
+      return aItem.second.running_ || aItem.second.transaction_ != 0;
     }));
 }
 
@@ -106,6 +111,20 @@
   return true;
 }
 
+void
+EndRequest(OwnedSession& aSession, char aTransactionStatus)
+{
+  const wire::ForwardRequest& request = aSession.request_;
+  aSession.running_ = false;
+  if (aTransactionStatus == 'I') {
+    aSession.transaction_ = 0;
+  } else if (request.transaction() != 0) {
+    aSession.transaction_ = request.transaction();
+  } else if (aSession.transaction_ == 0 || request.has_transaction()) {
+    aSession.transaction_ = request.request();
+  }
+}
+
 bool
 CloseRequests(OwnedSession& aSession, std::uint64_t aRequest)
 {
--- a/apps/wigeonlbd/traffic/ownedsessions.h
+++ b/apps/wigeonlbd/traffic/ownedsessions.h
@@ -34,7 +34,8 @@
   wire::ForwardRequest request_; //!< current or last request
   foundation::Instant arrivedAt_;
   bool running_ = false;
-  bool inTransaction_ = false;
+  //! Number of the request that began the session's transaction; 0 for none.
+  std::uint64_t transaction_ = 0;
   //! The session's transaction when the request arrived.
   std::optional<core::traffic::SessionTransaction> openTransaction_;
   std::string heldEnd_; //!< end of the target's answer, held until Finish
@@ -67,7 +68,9 @@
   std::vector<SessionKey> FindKeys(const foundation::HostId& aHost,
                                    std::uint64_t aKeepBoot) const;
 
-  bool InTransaction(const SessionKey& aKey) const;
+  //! Whether the request continues a transaction that is open here.
+  bool ContinuesTransaction(const SessionKey& aKey,
+                            const wire::ForwardRequest& aRequest) const;
   //! Number of sessions with a running request or an open transaction.
   std::size_t RunningCount() const;
 
@@ -93,6 +96,11 @@
 bool
 BeginRequest(OwnedSession& aSession, wire::ForwardRequest&& aRequest);
 
+//! Ends the current request, after which the session has this transaction
+//! status.
+void
+EndRequest(OwnedSession& aSession, char aTransactionStatus);
+
 //! Closes the session's requests up to a number, 0 for all of them. Returns
 //! false, without a change, if a later one has arrived.
 bool
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -143,7 +143,7 @@
 OwnerGroup::CloseSession(OwnedSession& aSession)
 {
   aSession.running_ = false;
-  aSession.inTransaction_ = false;
+  aSession.transaction_ = 0;
   Feed(core_traffic::SessionClosed{ aSession.id_ });
 }
 
@@ -438,8 +438,7 @@
   if (session == nullptr) {
     return;
   }
-  session->running_ = false;
-  session->inTransaction_ = aAction.transactionStatus_ != 'I';
+  EndRequest(*session, aAction.transactionStatus_);
   Log(*session, aAction);
   wire::PeerMessage message;
   *message.mutable_forward_end() = MakeEnd(*session, aAction);
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -79,9 +79,10 @@
 
   std::vector<wire::TargetReport> Reports() const;
   const core::traffic::TrafficState& State() const { return state_; }
-  bool InTransaction(const SessionKey& aKey) const
+  bool ContinuesTransaction(const SessionKey& aKey,
+                            const wire::ForwardRequest& aRequest) const
   {
-    return sessions_.InTransaction(aKey);
+    return sessions_.ContinuesTransaction(aKey, aRequest);
   }
   //! Number of sessions with a running request or an open transaction.
   std::size_t RunningCount() const { return sessions_.RunningCount(); }
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -176,6 +176,11 @@
   }
   OwnerGroup& owner = *found->second;
   if (IsRefusedWhileRetiring(owner, *group, aMessage)) {
+    // What the session has here was given up before the request was sent.
+    wire::ForwardClose close;
+    close.set_session(aMessage.forward_request().session());
+    close.set_request(aMessage.forward_request().request());
+    owner.OnClose(aMessage.from(), boot, close);
     AnswerNotOwner(aMessage);
     return;
   }
@@ -252,9 +257,10 @@
                                      const wire::PeerMessage& aMessage) const
 {
   return aMessage.has_forward_request() && retiring_.count(aGroup) != 0 &&
-         !aOwner.InTransaction({ aMessage.from(),
-                                 aMessage.boot(),
-                                 aMessage.forward_request().session() });
+         !aOwner.ContinuesTransaction({ aMessage.from(),
+                                        aMessage.boot(),
+                                        aMessage.forward_request().session() },
+                                      aMessage.forward_request());
 }
 
 OwnerGroup&
