Answers name the start of the entry host that they are for

What callers saw: nothing traced; suspected. A caller could get the answer to another caller's statement after its entry host was restarted.

Cause: an owner knows a session by host, boot and number, but its answer named the number only, and numbers begin anew with each start of a host. An answer that is on its way while the host restarts can meet a session and request of the same numbers.

Result: test_trafficshard passes.

--- a/apps/wigeonlbd/tests/shardfixture.cpp
+++ b/apps/wigeonlbd/tests/shardfixture.cpp
@@ -39,6 +39,7 @@
 {
   ShardSettings settings;
   settings.entry_.host_ = "entry";
+  settings.entry_.boot_ = kBoot;
   settings.entry_.dataCentre_ = "dc";
   settings.entry_.statementDeadline_ = std::chrono::seconds(60);
   settings.entry_.port_ = &port_;
--- a/apps/wigeonlbd/tests/shardfixture.h
+++ b/apps/wigeonlbd/tests/shardfixture.h
@@ -43,6 +43,8 @@
 class ShardFixture
 {
 public:
+  static constexpr std::uint64_t kBoot = 41;
+
   ShardFixture();
   ~ShardFixture();
 
--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -72,6 +72,36 @@
   CHECK(answer.find("SELECT 1") != std::string::npos);
 }
 
+TEST_CASE(
+  "an answer to a session of an earlier start of this host is not sent to "
+  "a caller",
+  "[entrysession]")
+{
+  struct Row
+  {
+    std::uint64_t boot_;
+    bool isSent_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { ShardFixture::kBoot, true },
+    { ShardFixture::kBoot + 1, false },
+    { 0, true }, // from an owner that does not tell it
+  }));
+  ShardFixture fixture;
+  fixture.Connect();
+  fixture.Query("SELECT n FROM t");
+  const auto [host, request] = fixture.NextRequest();
+  wire::ForwardEnd end = fixture.MakeEnd(request, wire::OUTCOME_DONE);
+  end.set_last_frames("other answer");
+  end.set_boot(row.boot_);
+  fixture.SendEnd(end);
+  end.set_last_frames("own answer");
+  end.set_boot(ShardFixture::kBoot);
+  fixture.SendEnd(end);
+  const std::string answer = fixture.ReadUntil(kReady);
+  CHECK((answer.find("other answer") != std::string::npos) == row.isSent_);
+}
+
 TEST_CASE("an incomplete answer ends the session", "[entrysession]")
 {
   struct Row
--- a/apps/wigeonlbd/traffic/ownedsessions.cpp
+++ b/apps/wigeonlbd/traffic/ownedsessions.cpp
@@ -174,6 +174,7 @@
   }
   aSession.heldEnd_.clear();
   end.set_session(aSession.request_.session());
+  end.set_boot(std::get<1>(aSession.key_));
   end.set_request(aFinish.request_.request_);
   end.set_outcome(aFinish.outcome_);
   end.set_sqlstate(aFinish.sqlstate_);
--- a/apps/wigeonlbd/traffic/ownerconnections.cpp
+++ b/apps/wigeonlbd/traffic/ownerconnections.cpp
@@ -55,6 +55,7 @@
   wire::PeerMessage message;
   wire::ForwardFrames& frames = *message.mutable_forward_frames();
   frames.set_session(aSession.request_.session());
+  frames.set_boot(std::get<1>(aSession.key_));
   frames.set_request(aSession.request_.request());
   frames.set_sequence(aSession.nextPiece_++);
   frames.set_frames(std::move(aFrames));
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -120,24 +120,49 @@
 TrafficShard::OnPeerMessage(wire::PeerMessage aMessage)
 {
   if (aMessage.has_forward_frames()) {
-    EntrySession* const entry = FindEntry(aMessage.forward_frames().session());
-    if (entry != nullptr) {
-      entry->OnFrames(std::move(*aMessage.mutable_forward_frames()));
-    }
-    return;
+    OnFrames(std::move(*aMessage.mutable_forward_frames()));
+  } else if (aMessage.has_forward_end()) {
+    OnEnd(std::move(*aMessage.mutable_forward_end()));
+  } else if (aMessage.has_forward_closed()) {
+    OnClosed(aMessage.from(), aMessage.forward_closed());
+  } else {
+    OnOwnerMessage(aMessage);
   }
-  if (aMessage.has_forward_end()) {
-    EntrySession* const entry = FindEntry(aMessage.forward_end().session());
-    if (entry != nullptr) {
-      entry->OnEnd(std::move(*aMessage.mutable_forward_end()));
-    }
-    return;
+}
+
+//! Whether a message is for this start of the host. Session numbers begin anew
+//! with each. Older owners do not tell it.
+bool
+TrafficShard::IsForThisBoot(std::uint64_t aBoot) const
+{
+  return aBoot == 0 || aBoot == entry_.boot_;
+}
+
+void
+TrafficShard::OnFrames(wire::ForwardFrames aFrames)
+{
+  EntrySession* const entry = FindEntry(aFrames.session());
+  if (entry != nullptr && IsForThisBoot(aFrames.boot())) {
+    entry->OnFrames(std::move(aFrames));
   }
-  if (aMessage.has_forward_closed()) {
-    closes_.OnClosed(aMessage.from(), aMessage.forward_closed());
-    return;
+}
+
+void
+TrafficShard::OnEnd(wire::ForwardEnd aEnd)
+{
+  EntrySession* const entry = FindEntry(aEnd.session());
+  if (entry != nullptr && IsForThisBoot(aEnd.boot())) {
+    entry->OnEnd(std::move(aEnd));
+  }
+}
+
+void
+TrafficShard::OnClosed(const foundation::HostId& aFrom,
+                       const wire::ForwardClosed& aClosed)
+{
+  if (IsForThisBoot(aClosed.boot())) {
+    closes_.OnClosed(aFrom, aClosed);
   }
-  OnOwnerMessage(aMessage);
 }
 
 void
@@ -208,6 +233,7 @@
   closed.set_session(close.session());
   closed.set_group(close.group());
   closed.set_request(close.request());
+  closed.set_boot(aMessage.boot());
   // If it is lost, the close is sent again.
   (void)entry_.port_->SendForward(aMessage.from(), std::move(answer));
 }
@@ -222,6 +248,7 @@
   wire::ForwardEnd& end = *answer.mutable_forward_end();
   end.set_session(aMessage.forward_request().session());
   end.set_request(aMessage.forward_request().request());
+  end.set_boot(aMessage.boot());
   end.set_outcome(wire::OUTCOME_NOT_RUN);
   end.set_not_owner(true);
   (void)entry_.port_->SendForward(aMessage.from(), std::move(answer));
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -92,6 +92,11 @@
   boost::asio::io_context& Context() { return io_; }
 
 private:
+  bool IsForThisBoot(std::uint64_t aBoot) const;
+  void OnFrames(wire::ForwardFrames aFrames);
+  void OnEnd(wire::ForwardEnd aEnd);
+  void OnClosed(const foundation::HostId& aFrom,
+                const wire::ForwardClosed& aClosed);
   void OnOwnerMessage(const wire::PeerMessage& aMessage);
   void AnswerNotOwner(const wire::PeerMessage& aMessage);
   void ConfirmClose(const wire::PeerMessage& aMessage);
