--- a/packages/core/traffic/internal/arrivals.cpp
+++ b/packages/core/traffic/internal/arrivals.cpp
@@ -187,7 +187,8 @@
                  Session& aSession,
                  const RequestArrived& aEvent)
 {
-  if (!aEvent.transaction_) {
+  const bool matches = aContext.group_.settings_.guards_.matchTransactions_;
+  if (!aEvent.transaction_ || !matches) {
     const bool isLost =
       aEvent.inTransaction_ && aSession.pinned_ == 0 && !aSession.aborted_;
     if (isLost) {
--- a/packages/core/traffic/settings.h
+++ b/packages/core/traffic/settings.h
@@ -43,6 +43,8 @@
   //! Before a COMMIT, the target is queried whether the transaction has
   //! written.
   bool detectHiddenWrites_ = true;
+  //! A statement runs only in the transaction that its entry host names.
+  bool matchTransactions_ = true;
   //! Targets are requested to terminate abandoned sessions.
   bool terminateSessions_ = true;
   //! Sessions of former holders are terminated only under a valid grant.
--- a/packages/core/traffic/tests/fakegroup.cpp
+++ b/packages/core/traffic/tests/fakegroup.cpp
@@ -277,6 +277,23 @@
   return id;
 }
 
+void
+FakeGroup::Deliver(const RequestArrived& aEvent)
+{
+  const SessionId session = aEvent.id_.session_;
+  lastRequest_[session] = std::max(lastRequest_[session], aEvent.id_.request_);
+  if (transactions_[session] != aEvent.transaction_) {
+    GiveUp(session);
+    transactions_[session] = aEvent.transaction_.value_or(0);
+  }
+  SentRequest& request = requests_[aEvent.id_];
+  request.spec_.session_ = session;
+  request.spec_.class_ = aEvent.class_;
+  request.deadline_ = aEvent.deadline_;
+  request.transaction_ = aEvent.transaction_.value_or(0);
+  Feed(aEvent);
+}
+
 void
 FakeGroup::GiveUp(SessionId aSession)
 {
--- a/packages/core/traffic/tests/fakegroup.h
+++ b/packages/core/traffic/tests/fakegroup.h
@@ -139,6 +139,9 @@
   void BreakConnections(std::size_t aIndex, bool aRowsForwarded = false);
 
   RequestId Send(const RequestSpec& aSpec);
+  //! Feeds a request that arrives from an entry host outside of this
+  //! simulation.
+  void Deliver(const RequestArrived& aEvent);
   //! The entry host gives up the session's transaction and its request in
   //! progress, and no message about it reaches the owner.
   void GiveUp(SessionId aSession);
