Owners drop messages of an entry host's former start

What callers saw: nothing traced; suspected. Transactions of a host that had just been restarted were rolled back (25P02 at their next statement).

Cause: any other boot number than the last one counted as a new start. A message of the former start that a cut had held back closed the sessions of the present one, and its statement ran though its caller was gone.

Change: the former boot is kept, as the links do, and its messages are dropped.

Result: test_trafficshard passes.

--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -102,6 +102,31 @@
   CHECK((answer.find("other answer") != std::string::npos) == row.isSent_);
 }
 
+TEST_CASE("a message of a host's former start is dropped", "[trafficshard]")
+{
+  struct Row
+  {
+    std::vector<std::uint64_t> boots_;
+    std::size_t answers_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { { 1, 1 }, 2 },
+    { { 1, 2 }, 2 },
+    { { 1, 2, 1 }, 2 },
+    { { 1, 2, 1, 2 }, 3 },
+    { { 1, 2, 3 }, 3 },
+  }));
+  ShardFixture fixture;
+  for (const std::uint64_t boot : row.boots_) {
+    wire::PeerMessage message;
+    message.set_from("other");
+    message.set_boot(boot);
+    message.mutable_forward_request()->set_group("unknown");
+    fixture.shard_->OnPeerMessage(std::move(message));
+  }
+  CHECK(fixture.port_.sent_.size() == row.answers_);
+}
+
 TEST_CASE("an incomplete answer ends the session", "[entrysession]")
 {
   struct Row
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -165,15 +165,28 @@
   }
 }
 
+bool
+TrafficShard::IsOfPresentBoot(const wire::PeerMessage& aMessage)
+{
+  Boots& boots = boots_[aMessage.from()];
+  if (aMessage.boot() == boots.present_) {
+    return true;
+  }
+  if (aMessage.boot() == boots.former_) {
+    return false; // held back since before the host was started again
+  }
+  boots.former_ = std::exchange(boots.present_, aMessage.boot());
+  for (const auto& [name, owner] : owners_) {
+    owner->OnHostLost(aMessage.from(), boots.present_);
+  }
+  return true;
+}
+
 void
 TrafficShard::OnOwnerMessage(const wire::PeerMessage& aMessage)
 {
-  std::uint64_t& boot = boots_[aMessage.from()];
-  if (boot != aMessage.boot()) {
-    boot = aMessage.boot();
-    for (const auto& [name, owner] : owners_) {
-      owner->OnHostLost(aMessage.from(), boot);
-    }
+  if (!IsOfPresentBoot(aMessage)) {
+    return;
   }
   using Body = wire::PeerMessage::BodyCase;
   const foundation::GroupName* group = nullptr;
@@ -205,18 +218,19 @@
     wire::ForwardClose close;
     close.set_session(aMessage.forward_request().session());
     close.set_request(aMessage.forward_request().request());
-    owner.OnClose(aMessage.from(), boot, close);
+    owner.OnClose(aMessage.from(), aMessage.boot(), close);
     AnswerNotOwner(aMessage);
     return;
   }
   if (aMessage.has_forward_request()) {
-    owner.OnRequest(aMessage.from(), boot, aMessage.forward_request());
+    owner.OnRequest(
+      aMessage.from(), aMessage.boot(), aMessage.forward_request());
   } else if (aMessage.has_forward_credit()) {
-    owner.OnCredit(aMessage.from(), boot, aMessage.forward_credit());
+    owner.OnCredit(aMessage.from(), aMessage.boot(), aMessage.forward_credit());
   } else if (aMessage.has_forward_cancel()) {
-    owner.OnCancel(aMessage.from(), boot, aMessage.forward_cancel());
+    owner.OnCancel(aMessage.from(), aMessage.boot(), aMessage.forward_cancel());
   } else {
-    owner.OnClose(aMessage.from(), boot, aMessage.forward_close());
+    owner.OnClose(aMessage.from(), aMessage.boot(), aMessage.forward_close());
     ConfirmClose(aMessage);
   }
 }
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -98,6 +98,9 @@
   void OnClosed(const foundation::HostId& aFrom,
                 const wire::ForwardClosed& aClosed);
   void OnOwnerMessage(const wire::PeerMessage& aMessage);
+  //! Closes a host's sessions of its former start when it has started again.
+  //! Returns false if the message is of the former start.
+  bool IsOfPresentBoot(const wire::PeerMessage& aMessage);
   void AnswerNotOwner(const wire::PeerMessage& aMessage);
   void ConfirmClose(const wire::PeerMessage& aMessage);
   bool IsRefusedWhileRetiring(const OwnerGroup& aOwner,
@@ -122,7 +125,13 @@
   std::map<foundation::GroupName, foundation::Instant> retiring_;
   std::vector<foundation::GroupName> closed_;
   boost::asio::steady_timer sweepTimer_;
-  std::map<foundation::HostId, std::uint64_t> boots_; //!< last seen boot
+  //! Last seen starts of a host; 0 for none.
+  struct Boots
+  {
+    std::uint64_t present_ = 0;
+    std::uint64_t former_ = 0;
+  };
+  std::map<foundation::HostId, Boots> boots_;
 };
 
 } // namespace wigeonlb::daemon::traffic
