--- a/apps/wigeonctl/explain.cpp
+++ b/apps/wigeonctl/explain.cpp
@@ -25,6 +25,8 @@
   "leading",
   "leading-ended",
   "lost",
+  "peer-lost",
+  "peer-reachable",
   "promotion-answered",
   "promotion-ordered",
   "serving",
--- a/apps/wigeonctl/tests/explain_tests.cpp
+++ b/apps/wigeonctl/tests/explain_tests.cpp
@@ -15,6 +15,7 @@
 2026-12-04T10:00:05.200 level=INFO module=wigeonlb.request event=request-handed-on request=r1 session=10.0.0.1/7 attempt=3 group=g outcome=not_run reason="this host holds no grant" owner=10.0.0.3
 2026-12-04T10:00:05.204 level=INFO module=wigeonlb.request event=request-answered request=r1 session=10.0.0.1/7 attempt=4 group=g outcome=not_run sqlstate=57P03 reason="not run: no owner" owner=10.0.0.4
 2026-12-04T10:00:07.000 level=INFO module=wigeonlb.request event=request-answered request=r2 session=10.0.0.1/9 attempt=1 group=g outcome=unknown sqlstate=08007 reason="outcome unknown" owner=10.0.0.3
+2026-12-04T10:00:08.500 level=INFO module=wigeonlb.peer event=peer-lost host=10.0.0.3
 2026-12-04T10:00:09.000 level=INFO module=wigeonlb.request event=request-answered request=r3 session=10.0.0.1/8 attempt=5 group=h outcome=not_run sqlstate=57P03 reason="too old"
 not a line of a log
 )" },
@@ -89,7 +90,7 @@
       "sealed by owner.log: outcome=unknown sqlstate=08007 reason: the right "
       "to write ended" },
     { "r3",
-      { "request-finished", "request-answered", "sealed" },
+      { "peer-lost", "request-finished", "request-answered", "sealed" },
       "sealed by owner.log: outcome=not_run sqlstate=57P03 reason: no target's "
       "data is young enough" },
     { "r4", {}, "" },
--- a/packages/core/trace/trafficrecords.cpp
+++ b/packages/core/trace/trafficrecords.cpp
@@ -244,7 +244,6 @@
   if (request == nullptr || connection == nullptr) {
     return;
   }
-  request->sentToTarget_ = true;
   request->readRecorded_ = false;
   connection->request_ = aAction.request_;
   connection->probed_ = {};
--- a/packages/core/trace/trafficrecords.h
+++ b/packages/core/trace/trafficrecords.h
@@ -20,7 +20,6 @@
   wire::StatementClass class_ = wire::STATEMENT_WRITE;
   foundation::LogPosition floor_;
   bool repeatable_ = false;
-  bool sentToTarget_ = false;
   bool readRecorded_ = false;
   std::optional<foundation::LogPosition> committed_;
 };
--- a/packages/core/traffic/internal/group.h
+++ b/packages/core/traffic/internal/group.h
@@ -238,7 +238,6 @@
 {
   Settings settings_;
   wire::GroupState state_;
-  bool known_ = false;
   std::uint32_t owners_ = 1;
   //! NOTE These containers own the objects that the queues and lists below link
   //! to. They must be declared before them, so that they are destroyed last.
--- a/packages/core/traffic/internal/targets.cpp
+++ b/packages/core/traffic/internal/targets.cpp
@@ -283,7 +283,6 @@
   Group& group = aContext.group_;
   group.state_ = aEvent.group_;
   group.owners_ = aEvent.owners_;
-  group.known_ = true;
   ApplyOptions(group.settings_, aEvent.group_);
   ++group.version_;
   std::vector<TargetName> removed;
