--- a/testing/harness/session_tests.py
+++ b/testing/harness/session_tests.py
@@ -14,29 +14,44 @@
 from system import run_sql, wait_until
 
 
-class OpenTransaction:
-    """A caller whose transaction has written a row and stays open."""
+class Caller:
+    """A psql session that stays open."""
 
-    def __init__(self, host, table):
-        assert try_write(host, f"CREATE TABLE {table} (n integer)")
+    def __init__(self, host):
         self.handle = subprocess.Popen(
             ["psql", "-X", "-q",
              f"host=127.0.0.1 port={host.caller} dbname={GROUP} user=cut"
              " sslmode=disable"],
             stdin=subprocess.PIPE, stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL, text=True)
-        self.send(f"BEGIN;\nINSERT INTO {table} VALUES (1);\n\\echo begun\n")
-        assert self.handle.stdout.readline().strip() == "begun"
 
-    def send(self, text):
-        self.handle.stdin.write(text)
+    def send(self, statement):
+        self.handle.stdin.write(f"{statement};\n\\echo :SQLSTATE\n")
         self.handle.stdin.flush()
 
+    def result(self):
+        """The SQLSTATE of the next statement that was sent."""
+        return self.handle.stdout.readline().strip()
+
+    def run(self, statement):
+        self.send(statement)
+        return self.result()
+
     def close(self):
         self.handle.kill()
         self.handle.communicate(timeout=10)
 
 
+class OpenTransaction(Caller):
+    """A caller whose transaction has written a row and stays open."""
+
+    def __init__(self, host, table):
+        assert try_write(host, f"CREATE TABLE {table} (n integer)")
+        super().__init__(host)
+        assert self.run("BEGIN") == "00000"
+        assert self.run(f"INSERT INTO {table} VALUES (1)") == "00000"
+
+
 def test_host_killed_inside_a_transaction(system):
     hosts = started(system)
     transaction = OpenTransaction(hosts[0], "cut")
@@ -74,8 +89,7 @@
     wait_for_write(frozen)
     transaction = OpenTransaction(frozen, "again")
     time.sleep(4)
-    transaction.send("COMMIT;\n\\echo :SQLSTATE\n")
-    assert transaction.handle.stdout.readline().strip() == "00000"
+    assert transaction.run("COMMIT") == "00000"
     transaction.close()
 
 
@@ -83,7 +97,7 @@
     hosts = started(system)
     transaction = OpenTransaction(hosts[0], "mute")
     primary_of(system).set("silent", "on")
-    transaction.send("COMMIT;\n")
+    transaction.send("COMMIT")
     check_lock_released(system, hosts[1:], "mute")
     transaction.close()
 
--- a/testing/harness/transaction_tests.py
+++ b/testing/harness/transaction_tests.py
@@ -4,45 +4,18 @@
     transaction_tests.py --list   lists the tests
 """
 
-import subprocess
 import sys
 import time
 
 from process_tests import (
     FAILOVER_BOUND_S, GROUP, primary_of, run_named, started, try_write)
+from session_tests import Caller
 from system import wait_until
 
 #: Longer than a link takes to be lost, shorter than until hosts count as dead.
 SHORT_CUT_S = 1.1
 
 
-class Caller:
-    """A psql session that stays open; each statement returns its SQLSTATE."""
-
-    def __init__(self, host):
-        self.handle = subprocess.Popen(
-            ["psql", "-X", "-q",
-             f"host=127.0.0.1 port={host.caller} dbname={GROUP} user=cut"
-             " sslmode=disable"],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-            stderr=subprocess.DEVNULL, text=True)
-
-    def send(self, statement):
-        self.handle.stdin.write(f"{statement};\n\\echo :SQLSTATE\n")
-        self.handle.stdin.flush()
-
-    def result(self):
-        return self.handle.stdout.readline().strip()
-
-    def run(self, statement):
-        self.send(statement)
-        return self.result()
-
-    def close(self):
-        self.handle.kill()
-        self.handle.communicate(timeout=10)
-
-
 def owners_and_entry(system, hosts):
     """The group's owners, and a host that is none of them."""
     def owners():
@@ -69,12 +42,19 @@
         if row["name"] == "wigeonlb_owner_open_transactions")
 
 
-def test_write_inside_a_transaction_given_up(system):
+def started_with_caller(system):
+    """Starts six hosts; returns the group's owners, a host that is none of them,
+    and a caller there, whose row 1 is in table `kept`."""
     hosts = started(system, hosts=6)
     owners, entry = owners_and_entry(system, hosts)
     assert try_write(entry, "CREATE TABLE kept (n integer)")
     caller = Caller(entry)
     assert caller.run("INSERT INTO kept VALUES (1)") == "00000"
+    return owners, entry, caller
+
+
+def test_write_inside_a_transaction_given_up(system):
+    owners, entry, caller = started_with_caller(system)
     begun = begin_held_back(system, owners, entry, caller)
     ended = caller.run("ROLLBACK")
     time.sleep(0.5)
@@ -85,11 +65,7 @@
 
 
 def test_transaction_given_up_stays_open_at_its_owner(system):
-    hosts = started(system, hosts=6)
-    owners, entry = owners_and_entry(system, hosts)
-    assert try_write(entry, "CREATE TABLE kept (n integer)")
-    caller = Caller(entry)
-    assert caller.run("INSERT INTO kept VALUES (1)") == "00000"
+    owners, entry, caller = started_with_caller(system)
     begin_held_back(system, owners, entry, caller)
     caller.run("ROLLBACK")
     time.sleep(0.5)
