A close of a session that was idle for long no longer uses it after it is erased

Cause: found by reading, the crash left no trace of its place. An owner closed a session and then marked it as used. The close can end other requests; the end of a request erases sessions that were idle for more than 10 s, which the closed one may have been.

Evidence: the last lines of that host are ends of requests at an owner with 40 queued.

Change: OwnedSessions::Close marks the session as used before anything else runs, and nothing uses it afterwards. The schedule and the tests use the same call.

--- a/apps/wigeonlbd/tests/lossysessions.cpp
+++ b/apps/wigeonlbd/tests/lossysessions.cpp
@@ -255,13 +255,11 @@
   OwnerModel& owner = *owners_[aOwner];
   OwnedSession& session =
     owner.sessions_.GetOrCreate({ kEntryHost, 1, aClose.session() });
-  if (CloseRequests(session, aClose.request())) {
-    session.running_ = false;
-    session.transaction_ = 0;
-    owner.group_.GiveUp(session.id_);
-    owner.group_.Feed(core_traffic::SessionClosed{ session.id_ });
+  const core_traffic::SessionId id = session.id_;
+  if (owner.sessions_.Close(session, aClose.request(), now_)) {
+    owner.group_.GiveUp(id);
+    owner.group_.Feed(core_traffic::SessionClosed{ id });
   }
-  owner.sessions_.OnUsed(session, now_);
   const SessionAtOwner at{ std::to_string(aOwner), kGroup, aClose.session() };
   Post(aOwner, [this, at, request = aClose.request()] {
     ConfirmClose(closes_, at, request);
--- a/apps/wigeonlbd/tests/ownedsessions_tests.cpp
+++ b/apps/wigeonlbd/tests/ownedsessions_tests.cpp
@@ -72,7 +72,8 @@
   if (row.last_ != 0) {
     REQUIRE(BeginRequest(session, MakeRequest(row.last_)));
   }
-  CHECK(CloseRequests(session, row.closed_) == row.isClosed_);
+  CHECK(sessions.Close(session, row.closed_, foundation::SteadyNow()) ==
+        row.isClosed_);
   CHECK(BeginRequest(session, MakeRequest(row.next_)) == row.isTaken_);
 }
 
@@ -103,6 +104,19 @@
   CHECK((sessions.Find(key) != nullptr) == row.isKept_);
 }
 
+TEST_CASE("a session that was idle is kept after its close", "[ownedsessions]")
+{
+  const SessionKey key("h", 1, 1);
+  const foundation::Instant start = foundation::SteadyNow();
+  const foundation::Instant later = start + kIdleSessionLifetimeMs + 1ms;
+  OwnedSessions sessions;
+  OwnedSession& session = sessions.GetOrCreate(key);
+  sessions.OnUsed(session, start);
+  REQUIRE(sessions.Close(session, 0, later));
+  sessions.OnUsed(sessions.GetOrCreate({ "h", 1, 2 }), later);
+  CHECK(sessions.Find(key) == &session);
+}
+
 TEST_CASE("only a request of the open transaction continues it",
           "[ownedsessions]")
 {
--- a/apps/wigeonlbd/traffic/ownedsessions.cpp
+++ b/apps/wigeonlbd/traffic/ownedsessions.cpp
@@ -60,6 +60,23 @@
   }
 }
 
+bool
+OwnedSessions::Close(OwnedSession& aSession,
+                     std::uint64_t aRequest,
+                     foundation::Instant aNow)
+{
+  const std::uint64_t last = aSession.request_.request();
+  if (aRequest != 0 && aRequest < last) {
+    return false;
+  }
+  aSession.request_.Clear();
+  aSession.request_.set_request(std::max(aRequest, last));
+  aSession.running_ = false;
+  aSession.transaction_ = 0;
+  OnUsed(aSession, aNow);
+  return true;
+}
+
 std::vector<SessionKey>
 OwnedSessions::FindKeys(const foundation::HostId& aHost,
                         std::uint64_t aKeepBoot) const
@@ -125,18 +142,6 @@
   }
 }
 
-bool
-CloseRequests(OwnedSession& aSession, std::uint64_t aRequest)
-{
-  const std::uint64_t last = aSession.request_.request();
-  if (aRequest != 0 && aRequest < last) {
-    return false;
-  }
-  aSession.request_.Clear();
-  aSession.request_.set_request(std::max(aRequest, last));
-  return true;
-}
-
 core::traffic::RequestArrived
 MakeArrival(const OwnedSession& aSession, foundation::Instant aNow)
 {
--- a/apps/wigeonlbd/traffic/ownedsessions.h
+++ b/apps/wigeonlbd/traffic/ownedsessions.h
@@ -63,6 +63,11 @@
   //! A request of the session began or ended, or the session was closed. Erases
   //! sessions that have been idle for kIdleSessionLifetimeMs.
   void OnUsed(OwnedSession& aSession, foundation::Instant aNow);
+  //! Closes the session's requests up to a number, 0 for all of them. Returns
+  //! false, without a change, if a later one has arrived.
+  bool Close(OwnedSession& aSession,
+             std::uint64_t aRequest,
+             foundation::Instant aNow);
 
   //! Keys of the sessions of a host, except those of its boot aKeepBoot.
   std::vector<SessionKey> FindKeys(const foundation::HostId& aHost,
@@ -101,11 +106,6 @@
 void
 EndRequest(OwnedSession& aSession, char aTransactionStatus);
 
-//! Closes the session's requests up to a number, 0 for all of them. Returns
-//! false, without a change, if a later one has arrived.
-bool
-CloseRequests(OwnedSession& aSession, std::uint64_t aRequest);
-
 //! Builds the core event for the session's current request, arriving now.
 core::traffic::RequestArrived
 MakeArrival(const OwnedSession& aSession, foundation::Instant aNow);
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -133,18 +133,18 @@
   // be late.
   OwnedSession& session =
     sessions_.GetOrCreate(SessionKey(aFrom, aBoot, aClose.session()));
-  if (CloseRequests(session, aClose.request())) {
-    CloseSession(session);
-  }
-  sessions_.OnUsed(session, SteadyNow());
+  CloseSession(session, aClose.request());
 }
 
+//! NOTE Ends of other requests that follow may erase idle sessions, so the
+//! session must not be used after Feed.
 void
-OwnerGroup::CloseSession(OwnedSession& aSession)
+OwnerGroup::CloseSession(OwnedSession& aSession, std::uint64_t aRequest)
 {
-  aSession.running_ = false;
-  aSession.transaction_ = 0;
-  Feed(core_traffic::SessionClosed{ aSession.id_ });
+  const core_traffic::SessionId id = aSession.id_;
+  if (sessions_.Close(aSession, aRequest, SteadyNow())) {
+    Feed(core_traffic::SessionClosed{ id });
+  }
 }
 
 void
@@ -152,8 +152,7 @@
 {
   for (const SessionKey& key : sessions_.FindKeys(aHost, aKeepBoot)) {
     if (OwnedSession* const session = sessions_.Find(key)) {
-      CloseSession(*session);
-      sessions_.OnUsed(*session, SteadyNow());
+      CloseSession(*session, 0);
     }
   }
 }
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -102,7 +102,7 @@
                       const std::optional<foundation::LogPosition>& aPosition,
                       std::string aHeldEnd) override;
 
-  void CloseSession(OwnedSession& aSession);
+  void CloseSession(OwnedSession& aSession, std::uint64_t aRequest);
   void Feed(core::traffic::TrafficEvent aEvent);
   void SetTimer();
   void Execute(const core::traffic::OpenConnection& aAction);
