--- a/packages/core/traffic/tests/fakegroup.cpp
+++ b/packages/core/traffic/tests/fakegroup.cpp
@@ -392,22 +392,6 @@
     });
 }
 
-wire::TargetReport
-FakeGroup::MakeReport(const FakeTarget& aTarget) const
-{
-  const auto applied = GetAppliedLog(aTarget);
-  const auto visible = GetReceivedLog(aTarget);
-  const std::uint64_t offset = visible.empty() ? 0 : visible.back().offset_;
-  wire::TargetReport report;
-  report.set_reachable(true);
-  report.set_primary(aTarget.primary_);
-  report.set_adopted_term(aTarget.term_);
-  report.set_synced_offset(offset);
-  report.set_applied_offset(applied.empty() ? 0 : applied.back().offset_);
-  report.set_incarnation(aTarget.incarnation_);
-  return report;
-}
-
 const Entry*
 FakeGroup::FindKey(const std::string& aKey) const
 {
