Owners can answer a host that is not in their list yet

Cause, as traced before: the new host had its list of hosts 230 ms before the owner had the list with the new host; the owner ran the write and dropped the answer, as it knew no peer of that name.

Change: messages on a link whose peer has not responded yet tell where the sender listens. A host that gets one from a sender that is in no list opens a link to it at once, before the message is handled.

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -87,6 +87,7 @@
   links.boot_ = boot_;
   links.listenAddress_ = settings_.peerAddress_.ip_ + ":" +
                          std::to_string(settings_.peerAddress_.port_);
+  links.announcedAddress_ = settings_.peerAnnouncedAddress_;
   peer::PeerLinksCallbacks callbacks;
   callbacks.onMessage_ = [this](wire::PeerMessage&& aMessage) {
     OnPeerMessage(std::move(aMessage));
--- a/packages/peer/internal/link.cpp
+++ b/packages/peer/internal/link.cpp
@@ -85,6 +85,18 @@
          !TryCharge(*aContext.budget_, bytes, aContext.now_);
 }
 
+//! Serialized fields that tell a peer that has not responded yet where this
+//! host listens.
+std::string
+BuildIntroduction(const Link& aLink, const SendContext& aContext)
+{
+  wire::PeerMessage fields;
+  if (!aLink.reachable_) {
+    fields.set_from_address(std::string(aContext.announcedAddress_));
+  }
+  return fields.SerializeAsString();
+}
+
 //! Sends a message with a pending pong and, if one is due, a ping.
 bool
 SendWithPings(Link& aLink,
@@ -95,10 +107,12 @@
                        aMessage.requests_ > 0 ||
                        (aLink.inFlight_ > 0 && aMessage.requests_ == 0);
   PingState after = aLink.pings_;
-  const std::string piggybackFields = BuildPiggybackFields(
-    after,
-    awaited ? aContext.minPingAge_ : aContext.idleMinPingAge_,
-    aContext.now_);
+  const std::string piggybackFields =
+    BuildPiggybackFields(after,
+                         awaited ? aContext.minPingAge_
+                                 : aContext.idleMinPingAge_,
+                         aContext.now_) +
+    BuildIntroduction(aLink, aContext);
   const bool sent =
     piggybackFields.empty()
       ? SendNow(aLink, aMessage.payload_, aMessage.class_)
--- a/packages/peer/internal/link.h
+++ b/packages/peer/internal/link.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -123,6 +124,7 @@
   foundation::Duration minPingAge_;
   foundation::Duration idleMinPingAge_;
   foundation::TokenBucket* budget_;
+  std::string_view announcedAddress_; //!< of this host
 };
 
 //! Sends the queued messages, control messages first, until the socket's queue
--- a/packages/peer/internal/linkthread.cpp
+++ b/packages/peer/internal/linkthread.cpp
@@ -19,7 +19,6 @@
 namespace {
 
 constexpr int kReceiveQueueMessages = 1000;
-constexpr int kMessagesPerTurn = 1000;
 constexpr std::chrono::milliseconds kMaxWaitMs{ 1000 };
 
 //! Pause before messages that the byte budget delays are tried again.
@@ -185,130 +184,6 @@
   nextCheck_ = {};
 }
 
-void
-LinkThread::ReceiveMessages()
-{
-  for (int received = 0; received < kMessagesPerTurn; ++received) {
-    zmq::message_t identity;
-    if (!router_.recv(identity, zmq::recv_flags::dontwait)) {
-      return;
-    }
-    int frames = 1;
-    zmq::message_t frame;
-    while (router_.get(zmq::sockopt::rcvmore)) {
-      [[maybe_unused]] const auto size = router_.recv(frame);
-      ++frames;
-    }
-    if (frames == 2) {
-      Receive(frame);
-    }
-  }
-}
-
-void
-LinkThread::Receive(const zmq::message_t& aFrame)
-{
-  wire::PeerMessage message;
-  if (!message.ParseFromArray(aFrame.data(), static_cast<int>(aFrame.size())) ||
-      message.from().empty()) {
-    return;
-  }
-  LinkPtr link;
-  {
-    const std::shared_lock lock(table_.mutex_);
-    const auto found = table_.links_.find(message.from());
-    link = found == table_.links_.end() ? LinkPtr() : found->second;
-  }
-  if (link) {
-    auto& total = GetTrafficClass(message) == TrafficClass::Control
-                    ? link->counters_.controlReceived_
-                    : link->counters_.forwardReceived_;
-    total += aFrame.size();
-    CheckBoot(*link, message.boot());
-    ProcessPings(*link, message);
-  }
-  if (GetTrafficClass(message) == TrafficClass::Control) {
-    ++busyWindow_.messages_;
-  }
-  const bool isPing = message.has_ping() || message.has_pong();
-  if (!isPing && callbacks_.onMessage_) {
-    callbacks_.onMessage_(std::move(message));
-  }
-}
-
-//! Detects a restart of the peer. After a fast restart no ping times out, but
-//! the messages in flight are lost, so the link is reported as lost.
-void
-LinkThread::CheckBoot(Link& aLink, std::uint64_t aBoot)
-{
-  if (aBoot == aLink.boot_ || aBoot == aLink.formerBoot_) {
-    return;
-  }
-  aLink.formerBoot_ = std::exchange(aLink.boot_, aBoot);
-  if (aLink.formerBoot_ != 0 && aLink.dealer_) {
-    MarkLost(aLink);
-    Open(aLink, SteadyNow());
-  }
-}
-
-void
-LinkThread::ProcessPings(Link& aLink, const wire::PeerMessage& aMessage)
-{
-  const Instant now = SteadyNow();
-  if (aMessage.has_pong()) {
-    ProcessPong(aLink, aMessage.pong());
-    return;
-  }
-  if (aMessage.has_riding_pong()) {
-    ProcessPong(aLink, aMessage.riding_pong());
-  }
-  if (!aMessage.has_ping()) {
-    aLink.lastUsed_ = now;
-    UpdateInFlight(aLink, GetInFlightChange(aMessage));
-  }
-  if (!aMessage.has_ping() && !aMessage.has_riding_ping()) {
-    return;
-  }
-  const wire::PeerPing& ping =
-    aMessage.has_ping() ? aMessage.ping() : aMessage.riding_ping();
-  aLink.lastPinged_ = now;
-  if (!aLink.dealer_) {
-    Open(aLink, now);
-  }
-  aLink.pings_.pendingPong_ =
-    PendingPong{ ping.sent_at_us(), now, !aMessage.has_ping() };
-  if (aMessage.has_ping()) {
-    Pong(aLink, now);
-  }
-  nextCheck_ = std::min(nextCheck_, GetPongTime(aLink.pings_));
-}
-
-void
-LinkThread::ProcessPong(Link& aLink, const wire::PeerPing& aPong)
-{
-  const Instant now = SteadyNow();
-  const Instant sentAt{ Duration(aPong.sent_at_us()) };
-  // A pong for a ping from before a loss, or from a previous start of this
-  // host, does not reflect the current state of the link.
-  if (sentAt > now || now - sentAt > settings_.lostAfter_ ||
-      sentAt < aLink.openedAt_) {
-    return;
-  }
-  const Duration held(aPong.held_us());
-  aLink.counters_.roundTripUs_ =
-    std::max(now - sentAt - held, Duration::zero()).count();
-  RecordPong(aLink.pings_, sentAt);
-  if (aLink.reachable_.exchange(true)) {
-    return;
-  }
-  aLink.lost_ = false;
-  foundation::LogChange(
-    "peer", "reachable", { { "host", aLink.endpoint_.host_ } });
-  if (callbacks_.onPeerReachable_) {
-    callbacks_.onPeerReachable_(aLink.endpoint_.host_);
-  }
-}
-
 void
 LinkThread::Open(Link& aLink, Instant aNow)
 {
@@ -339,6 +214,22 @@
     CheckLink(*link, aNow);
     nextCheck_ = std::min(nextCheck_, GetNextCheckTime(*link, Policy(), aNow));
   }
+  RemoveUnusedUnlistedPeers();
+}
+
+void
+LinkThread::RemoveUnusedUnlistedPeers()
+{
+  const std::unique_lock lock(table_.mutex_);
+  const auto removed = std::erase_if(table_.unlisted_, [&](const auto& aHost) {
+    const auto link = table_.links_.find(aHost);
+    const bool unused = link == table_.links_.end() || !link->second->dealer_;
+    if (unused && link != table_.links_.end()) {
+      table_.links_.erase(link);
+    }
+    return unused;
+  });
+  table_.version_ += removed > 0 ? 1 : 0;
 }
 
 void
@@ -374,6 +265,9 @@
 {
   wire::PeerMessage message = MakeEnvelope(settings_);
   message.mutable_ping()->set_sent_at_us(Microseconds(aNow));
+  if (!aLink.reachable_) {
+    message.set_from_address(settings_.announcedAddress_);
+  }
   const bool sent =
     SendNow(aLink, message.SerializeAsString(), TrafficClass::Control);
   if (sent || aLink.reachable_) {
@@ -430,7 +324,8 @@
                              settings_.queueAgeLimit_,
                              settings_.pingInterval_ / 2,
                              idleInterval_,
-                             &budget_ };
+                             &budget_,
+                             settings_.announcedAddress_ };
   std::erase_if(pendingLinks_, [&](const LinkPtr& aLink) {
     if (aLink->dropped_) {
       DropPendingMessages(*aLink);
--- a/packages/peer/internal/linkthread.h
+++ b/packages/peer/internal/linkthread.h
@@ -23,6 +23,9 @@
   //! Links with queued messages or a requested reachability check.
   tbb::concurrent_queue<LinkPtr> ready_;
 
+  //! Hosts in links_ that SetPeers has not listed; known by their own messages.
+  std::set<foundation::HostId, std::less<>> unlisted_; //!< guarded by mutex_
+
   std::atomic<std::uint64_t> version_{ 0 }; //!< incremented when links_ changes
   std::atomic<std::uint64_t> controlRate_{ 0 };
 };
@@ -56,6 +59,10 @@
   void UpdateLinks();
   void ReceiveMessages();
   void Receive(const zmq::message_t& aFrame);
+  //! Adds a peer that is known only by its own message. Returns null if the
+  //! message does not tell its address, or if there are too many such peers.
+  LinkPtr AddUnlistedPeer(const wire::PeerMessage& aMessage);
+  void RemoveUnusedUnlistedPeers();
   void CheckBoot(Link& aLink, std::uint64_t aBoot);
   void ProcessPings(Link& aLink, const wire::PeerMessage& aMessage);
   void ProcessPong(Link& aLink, const wire::PeerPing& aPong);
--- a/packages/peer/peerlinks.cpp
+++ b/packages/peer/peerlinks.cpp
@@ -91,6 +91,10 @@
       const LinkPtr link =
         kept ? found->second : MakeLink(peer, impl_->settings_);
       table.links_[peer.host_] = link;
+      table.unlisted_.erase(peer.host_);
+    }
+    for (const foundation::HostId& host : table.unlisted_) {
+      table.links_[host] = former.at(host);
     }
   }
   ++table.version_;
--- a/packages/peer/peerlinks.h
+++ b/packages/peer/peerlinks.h
@@ -48,6 +48,9 @@
   foundation::HostId host_;
   std::uint64_t boot_ = 0;    //!< changes with every start of the host
   std::string listenAddress_; //!< `ip:port`; port 0 picks a free one
+  //! `ip:port` that the peers connect to. A peer that does not know this host
+  //! learns it from the first messages. Empty: it does not.
+  std::string announcedAddress_;
   //! Ping interval of links with statements in flight, of links that are kept
   //! open, and of links that are not reachable yet.
   foundation::Duration pingInterval_ = kLostAfterMs / 4;
@@ -103,6 +106,8 @@
 //! and a DEALER per peer with an open link that sends to the peer's ROUTER. A
 //! link is opened when it is first used or the peer pings, and closed after an
 //! idle time. Pings and pongs are piggybacked on other messages where possible.
+//! A host that is not in the list of peers yet can be answered: its messages
+//! tell its address until it has heard from this host.
 //! Each link is unidirectional; PeerMessage.from and PeerMessage.boot, which
 //! Send fills in, identify the sender.
 //! NOTE Delivery is at most once. Within a traffic class, messages that one
@@ -129,7 +134,8 @@
   std::string BoundAddress() const;
 
   //! Replaces the peers. The link of a peer whose entry is unchanged is kept;
-  //! an entry for this host is ignored. Callable from any thread.
+  //! an entry for this host is ignored. Peers that are known only by their own
+  //! messages stay until their link is closed. Callable from any thread.
   void SetPeers(std::span<const PeerEndpoint> aPeers);
 
   //! Queues a message. Callable from any thread; never blocks on the network.
--- a/packages/peer/tests/peerlinks_tests.cpp
+++ b/packages/peer/tests/peerlinks_tests.cpp
@@ -215,6 +215,49 @@
   CHECK(left.links_->Counters().empty());
 }
 
+TEST_CASE("a host that its peer does not know yet gets an answer",
+          "[peerlinks]")
+{
+  struct Row
+  {
+    bool announces_; //!< the host tells its address
+    bool answered_;
+  };
+  const auto row = GENERATE(values<Row>({ { true, true }, { false, false } }));
+  // The host listens on a port that another host used before, to announce it.
+  const std::string address = TestHost("former").links_->BoundAddress();
+  PeerLinksSettings settings;
+  settings.announcedAddress_ = row.announces_ ? address : "";
+  TestHost joining("joining", settings, address);
+  TestHost owner("owner");
+  const PeerEndpoint peers[] = { { "owner", owner.links_->BoundAddress() } };
+  joining.links_->SetPeers(peers);
+  REQUIRE_FALSE(joining.links_->Send("owner", Frames(1)));
+  REQUIRE(owner.WaitMessages(1));
+  CHECK(!owner.links_->Send("joining", Frames(2)) == row.answered_);
+  CHECK((!row.answered_ || joining.WaitMessages(1)));
+}
+
+TEST_CASE("a peer known by its messages only is forgotten when it is unused",
+          "[peerlinks]")
+{
+  const std::string address = TestHost("former").links_->BoundAddress();
+  PeerLinksSettings settings;
+  settings.announcedAddress_ = address;
+  TestHost joining("joining", settings, address);
+  PeerLinksSettings closing;
+  closing.closeAfter_ = std::chrono::milliseconds(400);
+  TestHost owner("owner", closing);
+  const PeerEndpoint peers[] = { { "owner", owner.links_->BoundAddress() } };
+  joining.links_->SetPeers(peers);
+  REQUIRE_FALSE(joining.links_->Send("owner", Frames(1)));
+  REQUIRE(owner.WaitMessages(1));
+  owner.links_->SetPeers({});
+  CHECK_FALSE(owner.links_->Send("joining", Frames(2)));
+  joining.links_->Stop();
+  CHECK(owner.WaitUntil([&] { return owner.links_->Counters().empty(); }));
+}
+
 TEST_CASE("the byte budget delays snapshots, not heartbeats", "[peerlinks]")
 {
   PeerLinksSettings settings;
