A control member returns when its disk accepts writes again

What an operator would see: after one write that a full or stalling disk refused, the control member took part in nothing until its process was restarted. With a second refusal on another host, or a host down, no configuration was accepted and no primary replaced, although all disks had room again.

Damaged data keeps it out as before.

--- a/apps/wigeonlbd/control/consensusmember.cpp
+++ b/apps/wigeonlbd/control/consensusmember.cpp
@@ -7,6 +7,15 @@
 namespace consensus = core::consensus;
 using foundation::SteadyNow;
 
+namespace {
+
+//! Interval of the attempts to use the data folder again after a storage error,
+//! such as a full disk.
+constexpr foundation::Duration kStorageRetryMs =
+  std::chrono::milliseconds(1000);
+
+} // namespace
+
 ConsensusMember::ConsensusMember(storage::DataFolder& aFolder,
                                  MemberCallbacks aCallbacks)
   : callbacks_(std::move(aCallbacks))
@@ -18,6 +27,7 @@
 ConsensusMember::Start(const consensus::ConsensusSettings& aSettings,
                        foundation::Findings& aFindings)
 {
+  settings_ = aSettings;
   storage::MemberImage image;
   if (const std::error_code error =
         storage::Load(folder_, store_, image, aFindings)) {
@@ -29,9 +39,49 @@
   return {};
 }
 
+void
+ConsensusMember::RecoverStorage()
+{
+  const foundation::Instant now = SteadyNow();
+  if (state_.role_ != consensus::Role::Failed || now < recoverAt_) {
+    return;
+  }
+  recoverAt_ = now + kStorageRetryMs;
+  foundation::Findings findings;
+  storage::MemberImage image;
+  if (const std::error_code error =
+        storage::Reload(folder_, store_, image, findings)) {
+    foundation::LogWarning("control",
+                           "storage-unusable",
+                           { { "error", error.message() },
+                             { "found", foundation::ToString(findings) } });
+    return;
+  }
+  control_ = image.snapshot_.state();
+  appliedTerm_ = image.snapshot_.last_term();
+  state_ = consensus::MakeConsensusState(
+    settings_, image.hardState_, image.snapshot_, image.entries_, now);
+  foundation::LogChange(
+    "control",
+    "storage-recovered",
+    { { "term", std::to_string(state_.hardState_.term()) },
+      { "last", std::to_string(consensus::LastIndex(state_.log_)) } });
+  callbacks_.replaced_();
+}
+
+foundation::Instant
+ConsensusMember::NextDue() const
+{
+  return state_.role_ == consensus::Role::Failed ? recoverAt_
+                                                 : consensus::NextDue(state_);
+}
+
 void
 ConsensusMember::Feed(const consensus::Event& aEvent)
 {
+  if (std::holds_alternative<consensus::Tick>(aEvent)) {
+    RecoverStorage();
+  }
   std::vector<consensus::Event> events{ aEvent };
   while (!events.empty()) {
     for (const consensus::Event& event : events) {
@@ -78,6 +128,7 @@
     "control",
     "storage-failed",
     { { "what", std::string(aWhat) }, { "error", aError.message() } });
+  recoverAt_ = SteadyNow() + kStorageRetryMs;
   followUps_.emplace_back(consensus::StorageFailed{});
   return false;
 }
--- a/apps/wigeonlbd/control/consensusmember.h
+++ b/apps/wigeonlbd/control/consensusmember.h
@@ -38,6 +38,9 @@
 
   void Feed(const core::consensus::Event& aEvent);
 
+  //! When the next Tick is due.
+  foundation::Instant NextDue() const;
+
   const wire::ControlState& Control() const { return control_; }
   const core::consensus::ConsensusState& Consensus() const { return state_; }
   bool IsLeading() const;
@@ -62,7 +65,13 @@
   //! there was no error.
   bool Check(std::error_code aError, std::string_view aWhat);
 
+  //! Reads the data folder again after a storage error, and starts the member
+  //! from what it holds, as after a restart of the process.
+  void RecoverStorage();
+
   MemberCallbacks callbacks_;
+  core::consensus::ConsensusSettings settings_;
+  foundation::Instant recoverAt_; //!< after a storage error
   storage::DataFolder& folder_;
   storage::MemberStore store_;
   core::consensus::ConsensusState state_;
--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -269,7 +269,7 @@
   foundation::Instant due =
     std::min({ nextReports_, agent_->NextDue(), submitter_->NextDue() });
   if (member_ != nullptr) {
-    due = std::min(due, core::consensus::NextDue(member_->Consensus()));
+    due = std::min(due, member_->NextDue());
   }
   if (leader_ != nullptr && leader_->IsLeading()) {
     due = std::min(due, lastTick_ + kLeaderTickMs);
--- a/packages/core/consensus/consensus.h
+++ b/packages/core/consensus/consensus.h
@@ -65,7 +65,9 @@
   PreCandidate,
   Candidate,
   Leader,
-  Failed, //!< storage failed; ignores all events until it is restarted
+  //! Storage failed; all events are ignored. The driver makes a new state from
+  //! the stored one once the storage works again.
+  Failed,
 };
 
 //! The leader's view of another member.
--- a/packages/storage/memberstore.cpp
+++ b/packages/storage/memberstore.cpp
@@ -71,6 +71,25 @@
   return record.SerializeAsString();
 }
 
+//! Writes a snapshot, then a new log segment with the hard state and the
+//! entries after the snapshot.
+std::error_code
+StoreSnapshot(MemberStore& aStore,
+              const SnapshotFile& aFile,
+              std::span<const wire::ConsensusEntry> aTail)
+{
+  if (const std::error_code error = WriteSnapshot(*aStore.folder_, aFile)) {
+    return error;
+  }
+  aStore.snapshotIndex_ = aFile.snapshot_.last_index();
+  aStore.firstSequence_ = aFile.firstSequence_;
+  std::vector<std::string> records{ MakeHardStateRecord(aStore.hardState_) };
+  for (const wire::ConsensusEntry& entry : aTail) {
+    records.push_back(MakeEntryRecord(entry));
+  }
+  return StartSegment(aStore.log_, records);
+}
+
 void
 TruncateFrom(std::vector<wire::ConsensusEntry>& aEntries, std::uint64_t aIndex)
 {
@@ -165,9 +184,28 @@
     aStore.hardState_ = *aImage.hardState_;
   }
   aStore.snapshotIndex_ = aImage.snapshot_.last_index();
+  aStore.firstSequence_ = snapshot.firstSequence_;
   return {};
 }
 
+std::error_code
+Reload(DataFolder& aFolder,
+       MemberStore& aStore,
+       MemberImage& aImage,
+       foundation::Findings& aFindings)
+{
+  CloseLog(aStore.log_);
+  aStore = MemberStore{};
+  if (const std::error_code error = Load(aFolder, aStore, aImage, aFindings)) {
+    return error;
+  }
+  if (!aImage.hardState_) {
+    return {}; // nothing was ever stored
+  }
+  return StoreSnapshot(
+    aStore, { aStore.firstSequence_, aImage.snapshot_ }, aImage.entries_);
+}
+
 std::error_code
 Save(MemberStore& aStore,
      const wire::HardState& aHardState,
@@ -199,16 +237,7 @@
              const wire::MemberSnapshot& aSnapshot,
              std::span<const wire::ConsensusEntry> aTail)
 {
-  if (const std::error_code error =
-        WriteSnapshot(*aStore.folder_, { 0, aSnapshot })) {
-    return error;
-  }
-  std::vector<std::string> records{ MakeHardStateRecord(aStore.hardState_) };
-  for (const wire::ConsensusEntry& entry : aTail) {
-    records.push_back(MakeEntryRecord(entry));
-  }
-  aStore.snapshotIndex_ = aSnapshot.last_index();
-  return StartSegment(aStore.log_, records);
+  return StoreSnapshot(aStore, { 0, aSnapshot }, aTail);
 }
 
 std::error_code
@@ -224,6 +253,7 @@
   }
   aStore.hardState_ = aHardState;
   aStore.snapshotIndex_ = aSnapshot.last_index();
+  aStore.firstSequence_ = file.firstSequence_;
   const std::string records[] = { MakeHardStateRecord(aHardState) };
   return StartSegment(aStore.log_, records);
 }
--- a/packages/storage/memberstore.h
+++ b/packages/storage/memberstore.h
@@ -30,6 +30,8 @@
   AppendLog log_;
   wire::HardState hardState_;
   std::uint64_t snapshotIndex_ = 0;
+  //! First log record whose entries are valid with the stored snapshot.
+  std::uint64_t firstSequence_ = 0;
 };
 
 //! Reads the folder and opens the log for appending. aFindings lists repairs (a
@@ -41,6 +43,15 @@
      MemberImage& aImage,
      foundation::Findings& aFindings);
 
+//! Reads the folder again after a failed write, and stores all of it anew, as
+//! what the failed write left may not be on the disk. The log accepts writes
+//! again unless an error is returned; the call can be repeated then.
+std::error_code
+Reload(DataFolder& aFolder,
+       MemberStore& aStore,
+       MemberImage& aImage,
+       foundation::Findings& aFindings);
+
 //! Writes the hard state, the truncation and the entries with a single sync.
 //! Entries from the index aTruncateFrom on are removed first; 0 removes none.
 std::error_code
--- a/packages/storage/tests/memberstore_tests.cpp
+++ b/packages/storage/tests/memberstore_tests.cpp
@@ -234,6 +234,23 @@
   return SaveTwo(aStore, aSaved.last_ + 1, false, aSaved);
 }
 
+// Checks that nothing saved is missing. What is stored beyond it counts as
+// saved from now on.
+void
+CheckImage(const MemberImage& aImage, Saved& aSaved)
+{
+  std::uint64_t last = aImage.snapshot_.last_index();
+  CHECK(last >= aSaved.snapshot_);
+  for (const wire::ConsensusEntry& entry : aImage.entries_) {
+    CHECK(entry.index() == ++last);
+  }
+  CHECK(last >= aSaved.last_);
+  const std::uint64_t term =
+    aImage.hardState_.value_or(MakeHardState(0)).term();
+  CHECK(term >= aSaved.term_);
+  aSaved = { last, aImage.snapshot_.last_index(), term };
+}
+
 } // namespace
 
 TEST_CASE("a crash at any call loses no saved data", "[storage]")
@@ -250,17 +267,38 @@
     fixture.files_.Crash(random);
     INFO("seed " << seed << " restart " << restart);
     REQUIRE_FALSE(Open(fixture));
-    const MemberImage& image = fixture.image_;
-    std::uint64_t last = image.snapshot_.last_index();
-    CHECK(last >= saved.snapshot_);
-    for (const wire::ConsensusEntry& entry : image.entries_) {
-      CHECK(entry.index() == ++last);
+    CheckImage(fixture.image_, saved);
+  }
+}
+
+TEST_CASE("a store that is reloaded after a failed write loses no saved data",
+          "[storage]")
+{
+  const auto seed = GENERATE(range(1, 401));
+  std::mt19937 random(seed);
+  Fixture fixture;
+  REQUIRE_FALSE(Open(fixture));
+  Saved saved;
+  REQUIRE_FALSE(SaveTwo(fixture.store_, 1, false, saved));
+  for (int round = 0; round < 10; ++round) {
+    fixture.files_.callsLeft_ = 1 + random() % 40;
+    while (!SaveRandomly(fixture.store_, random, saved)) {
+    }
+    // The disk refuses the first attempts too.
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      fixture.files_.callsLeft_ = 1 + random() % 12;
+      (void)Reload(
+        fixture.folder_, fixture.store_, fixture.image_, fixture.findings_);
     }
-    CHECK(last >= saved.last_);
-    const std::uint64_t term =
-      image.hardState_.value_or(MakeHardState(0)).term();
-    CHECK(term >= saved.term_);
-    saved = { last, image.snapshot_.last_index(), term };
+    fixture.files_.callsLeft_.reset();
+    INFO("seed " << seed << " round " << round);
+    REQUIRE_FALSE(Reload(
+      fixture.folder_, fixture.store_, fixture.image_, fixture.findings_));
+    CheckImage(fixture.image_, saved);
+    // What was reloaded is on the disk.
+    fixture.files_.Crash(random);
+    REQUIRE_FALSE(Open(fixture));
+    CheckImage(fixture.image_, saved);
   }
 }
 
