--- a/packages/core/consensus/tests/networkschedules.cpp
+++ b/packages/core/consensus/tests/networkschedules.cpp
@@ -115,6 +115,8 @@
   } else if (kind == 3 && aFaults.cutsLinks_) {
     // Cuts the link in one direction only.
     aNetwork.cutLinks_.insert({ host, PickHost(aNetwork) });
+  } else if (kind == 5 && aFaults.refusesWrites_) {
+    aNetwork.refusingDisks_.insert(host);
   } else if (kind == 4) {
     for (const auto& [other, member] : aNetwork.members_) {
       Crash(aNetwork, other);
@@ -122,6 +124,7 @@
     }
   } else {
     Heal(aNetwork);
+    aNetwork.refusingDisks_.clear();
   }
 }
 
@@ -130,6 +133,7 @@
 Settle(SimulatedNetwork& aNetwork)
 {
   Heal(aNetwork);
+  aNetwork.refusingDisks_.clear();
   aNetwork.settings_.crashPerMille_ = 0;
   aNetwork.settings_.lossPercent_ = 0;
   for (const auto& [host, member] : aNetwork.members_) {
--- a/packages/core/consensus/tests/networkschedules.h
+++ b/packages/core/consensus/tests/networkschedules.h
@@ -11,6 +11,7 @@
   bool losesDisks_ = true;
   bool cutsLinks_ = true;
   bool changesMembers_ = false;
+  bool refusesWrites_ = false; //!< disks that are full for a while
 };
 
 //! Runs a network with random faults while two operators change the
--- a/packages/core/consensus/tests/schedule_tests.cpp
+++ b/packages/core/consensus/tests/schedule_tests.cpp
@@ -63,6 +63,30 @@
   }
 }
 
+TEST_CASE("random schedules with disks that refuse writes keep all committed "
+          "entries",
+          "[consensus][schedules]")
+{
+  std::uint64_t refused = 0;
+  std::string violations;
+  for (int seed = 1; seed <= kSchedules / 3; ++seed) {
+    NetworkSettings settings;
+    settings.seed_ = seed;
+    settings.members_ = seed % 3 == 0 ? 5 : 3;
+    settings.lossPercent_ = seed % 20;
+    const SimulatedNetwork network = RunSchedule(
+      settings, { .changesMembers_ = seed % 2 == 0, .refusesWrites_ = true });
+    violations += Describe(network);
+    refused += network.writesRefused_;
+  }
+  std::cout << "writes refused: " << refused << "\n";
+  CHECK(refused > 0);
+  CHECK(violations.empty());
+  if (!violations.empty()) {
+    std::cout << violations;
+  }
+}
+
 TEST_CASE("random schedules detect a disabled guard of the configuration",
           "[consensus][guard]")
 {
--- a/packages/core/consensus/tests/simulatednetwork.cpp
+++ b/packages/core/consensus/tests/simulatednetwork.cpp
@@ -47,8 +47,8 @@
   }
 }
 
-// Writes the first aParts of a Persist action, to simulate a crash during it:
-// the entries in order, then the hard state.
+// Writes the first aParts of a Persist action, to simulate a crash or a refused
+// write during it: the entries in order, then the hard state.
 void
 WriteDisk(Disk& aDisk, const Persist& aPersist, std::size_t aParts)
 {
@@ -158,10 +158,37 @@
   Feed(aNetwork, aHost, SnapshotSaved{ snapshot });
 }
 
+bool
+IsWrite(const Action& aAction)
+{
+  return std::holds_alternative<Persist>(aAction) ||
+         std::holds_alternative<TakeSnapshot>(aAction) ||
+         std::holds_alternative<InstallSnapshot>(aAction);
+}
+
+// Any part of what is refused may be on the disk.
+void
+RefuseWrite(SimulatedNetwork& aNetwork,
+            const HostId& aHost,
+            const Action& aAction)
+{
+  ++aNetwork.writesRefused_;
+  if (const auto* persist = std::get_if<Persist>(&aAction)) {
+    WriteDisk(aNetwork.members_[aHost].disk_,
+              *persist,
+              aNetwork.random_() % (persist->entries_.size() + 2));
+  }
+  Feed(aNetwork, aHost, StorageFailed{});
+}
+
 void
 Execute(SimulatedNetwork& aNetwork, const HostId& aHost, const Action& aAction)
 {
   Member& member = aNetwork.members_[aHost];
+  if (aNetwork.refusingDisks_.contains(aHost) && IsWrite(aAction)) {
+    RefuseWrite(aNetwork, aHost, aAction);
+    return;
+  }
   if (const auto* persist = std::get_if<Persist>(&aAction)) {
     if (aNetwork.crashesAtPersist_ == aHost) {
       aNetwork.crashesAtPersist_.clear();
@@ -225,6 +252,18 @@
   }
 }
 
+// Starts a member from its disk once the disk accepts writes again, as the
+// driver does.
+void
+RecoverStorage(SimulatedNetwork& aNetwork, const HostId& aHost)
+{
+  const Member& member = aNetwork.members_[aHost];
+  if (member.up_ && member.consensus_.role_ == Role::Failed &&
+      !aNetwork.refusingDisks_.contains(aHost)) {
+    Start(aNetwork, aHost);
+  }
+}
+
 void
 UpdateHostView(SimulatedNetwork& aNetwork)
 {
@@ -346,7 +385,11 @@
   if (crashes) {
     executed = aNetwork.random_() % (actions.size() + 1);
   }
+  const bool failed = member.consensus_.role_ == Role::Failed;
   for (std::size_t i = 0; i < executed && member.up_; ++i) {
+    if (!failed && member.consensus_.role_ == Role::Failed) {
+      return; // the remaining actions are dropped
+    }
     Execute(aNetwork, aHost, actions[i]);
   }
   if (!crashes) {
@@ -372,6 +415,7 @@
     aNetwork.now_ += kStep;
     Deliver(aNetwork);
     for (const auto& [host, member] : aNetwork.members_) {
+      RecoverStorage(aNetwork, host);
       Feed(aNetwork, host, Tick{});
     }
     UpdateHostView(aNetwork);
--- a/packages/core/consensus/tests/simulatednetwork.h
+++ b/packages/core/consensus/tests/simulatednetwork.h
@@ -95,6 +95,7 @@
   configuration::ConfigurationView host_;
   //! This host crashes at its next Persist action.
   foundation::HostId crashesAtPersist_;
+  std::set<foundation::HostId> refusingDisks_; //!< hosts whose writes fail
 
   // Observations for the checks of the invariants.
   std::map<std::uint64_t, foundation::HostId> leaders_;     //!< by term
@@ -104,6 +105,7 @@
   std::set<std::string> violations_;
   std::uint64_t starts_ = 0;
   std::uint64_t disksLost_ = 0;
+  std::uint64_t writesRefused_ = 0;
   std::size_t largestPartBytes_ = 0; //!< largest snapshot part sent
   std::uint64_t entriesSent_ = 0;
 };
