Hosts get an answer although the whole configuration has to wait

A reply that carries the whole configuration is held to a byte budget; all control messages were charged to it, so that the heartbeat replies of some 120 hosts used it up for good (256 KiB of burst, 6 KiB/s), and the replies to the others waited without end. A host without a reply knows no leader, takes part in nothing, and leaves the list after 1.5 s. The links that seemed lost by the thousand were dropped as the list shrank.

A reply goes out at once without the whole configuration, which follows in a message of its own that may be delayed, at most once a second to one host; with grants it still travels in the reply, as they need it.

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -19,6 +19,11 @@
 //! Interval between ticks of the leader's logic while this host leads.
 constexpr Duration kLeaderTickMs = std::chrono::milliseconds(20);
 
+//! Rate of configuration snapshots of a host that is reserved for control,
+//! whose link carries nothing for callers.
+constexpr std::uint64_t kReservedSnapshotBytesPerSecond = std::uint64_t{ 8 }
+                                                          << 20U;
+
 //! Minimum time between two ticks.
 constexpr Duration kMinTickIntervalMs = std::chrono::milliseconds(2);
 
@@ -88,6 +93,9 @@
   links.listenAddress_ = settings_.peerAddress_.ip_ + ":" +
                          std::to_string(settings_.peerAddress_.port_);
   links.announcedAddress_ = settings_.peerAnnouncedAddress_;
+  if (!settings::AcceptsCallers(settings_)) {
+    links.snapshotRate_ = kReservedSnapshotBytesPerSecond;
+  }
   peer::PeerLinksCallbacks callbacks;
   callbacks.onMessage_ = [this](wire::PeerMessage&& aMessage) {
     OnPeerMessage(std::move(aMessage));
--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -18,6 +18,10 @@
 
 constexpr Duration kReadTimeoutMs = std::chrono::milliseconds(350);
 
+//! Minimum time between two whole configurations for one host that holds no
+//! grant: the first one may still be on its way.
+constexpr Duration kWholeIntervalMs = std::chrono::milliseconds(1000);
+
 //! Minimum time between two proposals of membership changes.
 constexpr Duration kMemberChangeIntervalMs = std::chrono::milliseconds(200);
 
@@ -175,12 +179,15 @@
   wire::HeartbeatReply& reply = *message.mutable_heartbeat_reply();
   reply.set_sequence(aWaiter.sequence_);
   reply.set_sent_at_us(aWaiter.sentAtUs_);
-  AddConfiguration(aWaiter.host_, reply);
+  auto whole = AddConfiguration(aWaiter.host_, reply);
   AddMembers(aWaiter.host_, reply);
   reply.set_from(self_);
   reply.set_leader(false);
   reply.set_leader_hint(GetKnownLeader());
   port_.SendControl(aWaiter.host_, std::move(message));
+  if (whole) {
+    port_.SendControl(aWaiter.host_, std::move(*whole));
+  }
 }
 
 void
@@ -195,15 +202,29 @@
   }
 }
 
-void
+std::optional<wire::PeerMessage>
 LeaderDriver::AddConfiguration(const foundation::HostId& aHost,
-                               wire::HeartbeatReply& aReply) const
+                               wire::HeartbeatReply& aReply)
 {
   const auto inForce = inForce_.find(aHost);
   const foundation::Revision revision =
     inForce == inForce_.end() ? 0 : inForce->second;
-  aReply.MergeFrom(
-    core::configuration::DeltaSince(member_.Control(), revision));
+  auto configuration =
+    core::configuration::DeltaSince(member_.Control(), revision);
+  if (!configuration.whole() || aReply.grants_size() > 0) {
+    aReply.MergeFrom(configuration);
+    return std::nullopt;
+  }
+  const foundation::Instant now = SteadyNow();
+  const auto [sent, first] = wholeSentAt_.try_emplace(aHost, now);
+  if (!first && now - sent->second < kWholeIntervalMs) {
+    return std::nullopt;
+  }
+  sent->second = now;
+  wire::PeerMessage message;
+  *message.mutable_heartbeat_reply() = std::move(configuration);
+  message.mutable_heartbeat_reply()->set_from(self_);
+  return message;
 }
 
 void
@@ -295,9 +316,12 @@
   wire::PeerMessage message;
   wire::HeartbeatReply& reply = *message.mutable_heartbeat_reply();
   reply = std::move(aAction.reply_);
-  AddConfiguration(aAction.host_, reply);
+  auto whole = AddConfiguration(aAction.host_, reply);
   AddMembers(aAction.host_, reply);
   SendReply(aAction.host_, std::move(message));
+  if (whole) {
+    SendReply(aAction.host_, std::move(*whole));
+  }
 }
 
 void
--- a/apps/wigeonlbd/control/leaderdriver.h
+++ b/apps/wigeonlbd/control/leaderdriver.h
@@ -84,8 +84,13 @@
   //! Sends the leader hint to the hosts whose heartbeats arrived while no
   //! leader was known.
   void AnswerWaiters();
-  void AddConfiguration(const foundation::HostId& aHost,
-                        wire::HeartbeatReply& aReply) const;
+  //! Adds the configuration changes that the host lacks. A host that needs the
+  //! whole configuration gets it in the returned message, which the byte budget
+  //! may delay: the host must not wait so long for the reply itself. Grants go
+  //! together with the configuration that they need.
+  std::optional<wire::PeerMessage> AddConfiguration(
+    const foundation::HostId& aHost,
+    wire::HeartbeatReply& aReply);
   const target::Dialect& FindDialect(std::string_view aGroup,
                                      std::string_view aTarget) const;
 
@@ -111,6 +116,8 @@
     promotionsInProgress_;
   bool leading_ = false;
   std::map<foundation::HostId, foundation::Revision> inForce_;
+  //! When each host was last sent the whole configuration.
+  std::map<foundation::HostId, foundation::Instant> wholeSentAt_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/packages/peer/internal/link.cpp
+++ b/packages/peer/internal/link.cpp
@@ -68,21 +68,18 @@
   }
 }
 
-//! Returns true if the byte budget delays the message; else charges the budget.
+//! Returns true if the byte budget delays the message; else charges the budget
+//! if the message is a snapshot.
 bool
 OverBudget(Link& aLink,
            const OutgoingMessage& aMessage,
            const SendContext& aContext)
 {
-  const std::size_t bytes = aMessage.payload_.size();
   if (aMessage.snapshot_ == SnapshotKind::None) {
-    if (aMessage.class_ == TrafficClass::Control) {
-      Charge(*aContext.budget_, bytes, aContext.now_);
-    }
     return false;
   }
   return !aLink.delayed_.empty() ||
-         !TryCharge(*aContext.budget_, bytes, aContext.now_);
+         !TryCharge(*aContext.budget_, aMessage.payload_.size(), aContext.now_);
 }
 
 //! Serialized fields that tell a peer that has not responded yet where this
--- a/packages/peer/internal/linkthread.cpp
+++ b/packages/peer/internal/linkthread.cpp
@@ -94,7 +94,7 @@
     return { errno, std::system_category() };
   }
   budget_ = foundation::MakeTokenBucket(
-    settings_.controlRate_, settings_.controlBurst_, SteadyNow());
+    settings_.snapshotRate_, settings_.snapshotBurst_, SteadyNow());
   thread_ = std::thread([this] { Run(); });
   return {};
 }
@@ -160,7 +160,7 @@
 void
 LinkThread::UpdateLinks()
 {
-  budget_.rate_ = table_.controlRate_;
+  budget_.rate_ = table_.snapshotRate_;
   const std::uint64_t version = table_.version_;
   if (version == version_) {
     return;
--- a/packages/peer/internal/linkthread.h
+++ b/packages/peer/internal/linkthread.h
@@ -27,7 +27,7 @@
   std::set<foundation::HostId, std::less<>> unlisted_; //!< guarded by mutex_
 
   std::atomic<std::uint64_t> version_{ 0 }; //!< incremented when links_ changes
-  std::atomic<std::uint64_t> controlRate_{ 0 };
+  std::atomic<std::uint64_t> snapshotRate_{ 0 };
 };
 
 //! Returns the link of a host, or null.
--- a/packages/peer/peerlinks.cpp
+++ b/packages/peer/peerlinks.cpp
@@ -23,7 +23,7 @@
     , callbacks_(std::move(aCallbacks))
     , thread_(settings_, callbacks_, table_)
   {
-    table_.controlRate_ = settings_.controlRate_;
+    table_.snapshotRate_ = settings_.snapshotRate_;
   }
 
   void ScheduleLink(const LinkPtr& aLink)
@@ -148,9 +148,9 @@
 }
 
 void
-PeerLinks::SetControlRate(std::uint64_t aBytesPerSecond)
+PeerLinks::SetSnapshotRate(std::uint64_t aBytesPerSecond)
 {
-  impl_->table_.controlRate_ = aBytesPerSecond;
+  impl_->table_.snapshotRate_ = aBytesPerSecond;
 }
 
 std::vector<PeerCounters>
--- a/packages/peer/peerlinks.h
+++ b/packages/peer/peerlinks.h
@@ -69,10 +69,11 @@
   //! A message that was queued for longer is dropped, because its sender has
   //! timed out.
   foundation::Duration queueAgeLimit_ = kLostAfterMs;
-  //! Configuration snapshots are delayed while the control class exceeds this
-  //! average rate, in bytes per second over all peers; 0 means no limit.
-  std::uint64_t controlRate_ = std::uint64_t{ 6 } * 1024;
-  std::uint64_t controlBurst_ = std::uint64_t{ 256 } * 1024; //!< bytes
+  //! Average rate of configuration snapshots, in bytes per second over all
+  //! peers; 0 means no limit. Snapshots beyond it are delayed. Other messages
+  //! count for nothing here, or many hosts' heartbeats would use it all.
+  std::uint64_t snapshotRate_ = std::uint64_t{ 6 } * 1024;
+  std::uint64_t snapshotBurst_ = std::uint64_t{ 256 } * 1024; //!< bytes
 };
 
 //! Callbacks for events on the links. They are called on the link thread and
@@ -147,8 +148,8 @@
   //! UnknownPeer, Stopped.
   std::error_code CheckReachability(std::string_view aHost);
 
-  //! Sets the rate limit of the control class, in bytes per second; 0 for none.
-  void SetControlRate(std::uint64_t aBytesPerSecond);
+  //! Sets the rate limit of snapshots, in bytes per second; 0 for none.
+  void SetSnapshotRate(std::uint64_t aBytesPerSecond);
 
   //! Counters of the current peers, sorted by host.
   std::vector<PeerCounters> Counters() const;
--- a/packages/peer/tests/peerlinks_tests.cpp
+++ b/packages/peer/tests/peerlinks_tests.cpp
@@ -261,8 +261,8 @@
 TEST_CASE("the byte budget delays snapshots, not heartbeats", "[peerlinks]")
 {
   PeerLinksSettings settings;
-  settings.controlRate_ = 1;
-  settings.controlBurst_ = 20000;
+  settings.snapshotRate_ = 1;
+  settings.snapshotBurst_ = 20000;
   TestHost left("left", settings);
   TestHost right("right");
   Connect(left, right);
@@ -277,9 +277,31 @@
   CHECK(right.messages_[1].has_heartbeat());
   CHECK(left.links_->Counters().front().snapshotsDelayed_ == 4);
   // Without the limit, only the newest of the delayed snapshots arrives.
-  left.links_->SetControlRate(0);
+  left.links_->SetSnapshotRate(0);
   REQUIRE(right.WaitMessages(3));
   CHECK(right.messages_[2].heartbeat_reply().revision() == 5);
 }
 
+TEST_CASE("heartbeats leave the byte budget to the snapshots", "[peerlinks]")
+{
+  PeerLinksSettings settings;
+  settings.snapshotRate_ = 1;
+  settings.snapshotBurst_ = 20000;
+  TestHost left("left", settings);
+  TestHost right("right");
+  Connect(left, right);
+  const std::size_t count = 300;
+  for (std::size_t sequence = 1; sequence <= count; ++sequence) {
+    wire::PeerMessage heartbeat;
+    heartbeat.mutable_heartbeat()->set_sequence(sequence);
+    heartbeat.mutable_heartbeat()->mutable_sender()->set_host(
+      std::string(200, 'h'));
+    REQUIRE_FALSE(left.links_->Send("right", heartbeat));
+  }
+  REQUIRE_FALSE(left.links_->Send("right", WholeReply(1, 19000)));
+  REQUIRE(right.WaitMessages(count + 1));
+  CHECK(right.messages_.back().heartbeat_reply().revision() == 1);
+  CHECK(left.links_->Counters().front().snapshotsDelayed_ == 0);
+}
+
 } // namespace wigeonlb::peer
