A lost or regained link is logged once

The link thread and its callback each logged the same event; at 295 hosts these were half of all lines. The line of the daemon stays (peer-lost, peer-reachable), which explain knows.

--- a/packages/peer/internal/linkthread.cpp
+++ b/packages/peer/internal/linkthread.cpp
@@ -301,7 +301,6 @@
   if (!aLink.dealer_ || std::exchange(aLink.lost_, true)) {
     return;
   }
-  foundation::LogChange("peer", "lost", { { "host", aLink.endpoint_.host_ } });
   if (callbacks_.onPeerLost_) {
     callbacks_.onPeerLost_(aLink.endpoint_.host_);
   }
--- a/packages/peer/internal/linkthreadreceive.cpp
+++ b/packages/peer/internal/linkthreadreceive.cpp
@@ -5,8 +5,6 @@
 #include <mutex>
 #include <utility>
 
-#include "foundation/logging.h"
-
 namespace wigeonlb::peer {
 
 using foundation::Duration;
@@ -162,8 +160,6 @@
     return;
   }
   aLink.lost_ = false;
-  foundation::LogChange(
-    "peer", "reachable", { { "host", aLink.endpoint_.host_ } });
   if (callbacks_.onPeerReachable_) {
     callbacks_.onPeerReachable_(aLink.endpoint_.host_);
   }
