The log tells under which right a promotion is requested

Cause: `promotion-ordered` named group, target, term and fence only.

Change: the core hands these over with the request (leader term, index of the choice, whether an earlier leader made it, end of the lease), and the line has leader_term, lease_left_ms, choice and chosen_by.

--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -25,6 +25,27 @@
 //! Minimum time between two proposals of membership changes.
 constexpr Duration kMemberChangeIntervalMs = std::chrono::milliseconds(200);
 
+//! Logs under which right the promotion is requested, so that requests of two
+//! leaders can be told apart.
+void
+LogPromotion(const failover::PromoteTarget& aAction)
+{
+  const auto leaseLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aAction.leaseUntil_ - SteadyNow());
+  foundation::LogChange(
+    "control",
+    "promotion-ordered",
+    { { "group", aAction.group_ },
+      { "target", aAction.target_ },
+      { "term", std::to_string(aAction.term_) },
+      { "fence", std::to_string(aAction.fence_) },
+      { "leader_term", std::to_string(aAction.leaderTerm_) },
+      { "lease_left_ms", std::to_string(leaseLeft.count()) },
+      { "choice", std::to_string(aAction.choiceIndex_) },
+      { "chosen_by",
+        aAction.chosenByEarlierLeader_ ? "earlier-leader" : "this-leader" } });
+}
+
 } // namespace
 
 LeaderDriver::LeaderDriver(boost::asio::io_context& aContext,
@@ -368,12 +389,7 @@
   if (!promotionsInProgress_.insert(key).second) {
     return; // the pending request is answered or times out soon
   }
-  foundation::LogChange("control",
-                        "promotion-ordered",
-                        { { "group", aAction.group_ },
-                          { "target", aAction.target_ },
-                          { "term", std::to_string(aAction.term_) },
-                          { "fence", std::to_string(aAction.fence_) } });
+  LogPromotion(aAction);
   promote_(context_,
            aAction,
            [this, alive = std::weak_ptr<bool>(alive_), request = aAction](
--- a/packages/core/failover/failover.h
+++ b/packages/core/failover/failover.h
@@ -356,6 +356,13 @@
   std::uint64_t incarnation_ = 0;
   std::uint64_t startOffset_ = 0;
   std::string dialect_; //!< of the target
+  std::uint64_t leaderTerm_ = 0;
+  //! Log index of the choice. An earlier leader made the choice if it is below
+  //! the leader's first entry.
+  std::uint64_t choiceIndex_ = 0;
+  bool chosenByEarlierLeader_ = false;
+  //! Until when this host is certain to lead.
+  foundation::Instant leaseUntil_;
 };
 using FailoverAction =
   std::variant<Propose, Reply, SendRevoke, ReadTarget, PromoteTarget>;
--- a/packages/core/failover/internal/promotion.cpp
+++ b/packages/core/failover/internal/promotion.cpp
@@ -154,6 +154,8 @@
     return;
   }
   progress.promotionRequestedAt_ = aContext.now_;
+  const auto& state = aContext.state_;
+  const auto choiceIndex = aContext.group_.choice_index();
   aContext.actions_.push_back(PromoteTarget{ GetFence(aContext),
                                              aContext.group_.group(),
                                              aTarget.target(),
@@ -161,7 +163,11 @@
                                              progress.promotionTerm_,
                                              aTarget.incarnation(),
                                              GetChosenStart(aContext.group_),
-                                             aTarget.dialect() });
+                                             aTarget.dialect(),
+                                             state.leaderTerm_,
+                                             choiceIndex,
+                                             choiceIndex < state.leaderIndex_,
+                                             state.leaderLeaseUntil_ });
 }
 
 //! False when the chosen target lost its data: its log ends before the start
--- a/packages/core/failover/tests/promotion_tests.cpp
+++ b/packages/core/failover/tests/promotion_tests.cpp
@@ -10,6 +10,7 @@
 
 using foundation::Instant;
 
+constexpr std::uint64_t kLeaderTerm = 5;
 constexpr std::uint64_t kChoiceTerm = 3;
 constexpr std::uint64_t kEarlierFence = 8;
 constexpr std::uint64_t kFirstIndex = 10;
@@ -85,12 +86,16 @@
   INFO(row.what_);
   const auto control = MakeControl(row.choiceIndex_);
   FailoverState state;
-  Feed(state, control, BecameLeader{ 5, row.firstIndex_ });
+  Feed(state, control, BecameLeader{ kLeaderTerm, row.firstIndex_ });
   const auto request =
     FindRequest(state, control, Tick{ Instant::max() }, kStart);
   REQUIRE(request);
   CHECK(request->target_ == "b");
   CHECK(request->fence_ == row.fence_);
+  CHECK(request->leaderTerm_ == kLeaderTerm);
+  CHECK(request->choiceIndex_ == row.choiceIndex_);
+  CHECK(request->chosenByEarlierLeader_ ==
+        (row.choiceIndex_ < row.firstIndex_));
 }
 
 TEST_CASE("a promotion follows only the answers to the present leadership",
@@ -119,7 +124,7 @@
   INFO(row.what_);
   const auto control = MakeControl(kEarlierFence);
   FailoverState state;
-  Feed(state, control, BecameLeader{ 5, kFirstIndex });
+  Feed(state, control, BecameLeader{ kLeaderTerm, kFirstIndex });
   const Tick tick{ Instant::max() };
   REQUIRE(FindRequest(state, control, tick, kStart));
   if (row.answer_ != Answer::None) {
@@ -156,10 +161,11 @@
   INFO(row.what_);
   const auto control = MakeControl(kEarlierFence);
   FailoverState state;
-  Feed(state, control, BecameLeader{ 5, kFirstIndex });
-  CHECK(
-    FindRequest(state, control, Tick{ row.leaseUntil_ }, kStart).has_value() ==
-    row.requested_);
+  Feed(state, control, BecameLeader{ kLeaderTerm, kFirstIndex });
+  const auto request =
+    FindRequest(state, control, Tick{ row.leaseUntil_ }, kStart);
+  CHECK(request.has_value() == row.requested_);
+  CHECK((!request || request->leaseUntil_ == row.leaseUntil_));
   CHECK(
     FindRequest(state, control, Tick{ Instant::max() }, kStart).has_value() !=
     row.requested_);
