A promotion does not leave its host after the leader's lease

What callers could see: two leaders promote different targets of one group at a platform that checks no fences; a write that the second one's primary acknowledged is then lost.

Cause: the lease was checked when the request was decided. Connecting comes after that, and so does a suspension of the process: the request left on waking, when a successor may have requested its own promotion.

Change: the end of the lease travels with the request, and both ways out check it when the connection is open, right before the bytes leave. What was not sent gives an empty result, which says nothing of the target: no refusal, no acceptance; the leader asks again while it has a lease. The log says `promotion-not-sent`.

--- a/apps/wigeonctl/explain.cpp
+++ b/apps/wigeonctl/explain.cpp
@@ -28,6 +28,7 @@
   "peer-lost",
   "peer-reachable",
   "promotion-answered",
+  "promotion-not-sent",
   "promotion-ordered",
   "serving",
   "starting",
--- a/apps/wigeonlbd/control/promotionport.cpp
+++ b/apps/wigeonlbd/control/promotionport.cpp
@@ -31,7 +31,8 @@
       GuardedStatement{
         target::SubstituteTerm(dialect.promoteStatement_, aRequest.term_),
         aRequest.incarnation_,
-        aRequest.startOffset_ },
+        aRequest.startOffset_,
+        aRequest.leaseUntil_ },
       kPromotionTimeoutMs,
       [aDone](std::optional<wire::TargetReport> aReport) {
         aDone({ false, std::move(aReport) });
--- a/apps/wigeonlbd/control/promotionport.h
+++ b/apps/wigeonlbd/control/promotionport.h
@@ -25,7 +25,9 @@
 
 //! Promotes the chosen target to primary. The request carries a fence, which is
 //! higher for each later choice. A request may be repeated while it is
-//! unanswered, and may be carried out late.
+//! unanswered, and may be carried out late. It does not leave this host after
+//! the leader's lease, leaseUntil_, also if the connection took long to open or
+//! the process was suspended: the result is then an empty one.
 using PromotionPort = std::function<void(boost::asio::io_context& aContext,
                                          const core::failover::PromoteTarget&,
                                          PromotionDone aDone)>;
--- a/apps/wigeonlbd/control/targetrequest.cpp
+++ b/apps/wigeonlbd/control/targetrequest.cpp
@@ -126,6 +126,11 @@
       Finish(std::move(report_));
       return;
     }
+    // A status without the statement would look like a refusal.
+    if (foundation::SteadyNow() >= guardedStatement_->executeBefore_) {
+      Finish(std::nullopt);
+      return;
+    }
     phase_ = Phase::Executing;
     const std::string statement = std::move(guardedStatement_->statement_);
     guardedStatement_.reset();
--- a/apps/wigeonlbd/control/targetrequest.h
+++ b/apps/wigeonlbd/control/targetrequest.h
@@ -26,6 +26,8 @@
   std::string statement_;
   std::uint64_t incarnation_ = 0;    //!< required incarnation of the target
   std::uint64_t minSyncedBytes_ = 0; //!< minimum synced log of the target
+  //! The statement is not executed at or after this time.
+  foundation::Instant executeBefore_ = foundation::Instant::max();
 };
 
 //! Opens a separate connection to a target and reads its status. If the status
--- a/packages/http/asyncrequest.cpp
+++ b/packages/http/asyncrequest.cpp
@@ -32,6 +32,7 @@
   void Start(const OutgoingRequest& aRequest, foundation::Duration aTimeout)
   {
     FillRequest(aRequest);
+    sendBefore_ = aRequest.sendBefore_;
     beast::error_code error;
     const tcp::endpoint endpoint = ParseEndpoint(aRequest.address_, error);
     if (error) {
@@ -67,6 +68,12 @@
       Finish(aError);
       return;
     }
+    // Checked here, as connecting may take long, and so may a suspension of the
+    // process.
+    if (sendBefore_ && foundation::SteadyNow() >= *sendBefore_) {
+      Finish(asio::error::operation_aborted);
+      return;
+    }
     result_.sent_ = true;
     beast::http::async_write(
       stream_,
@@ -104,6 +111,7 @@
   asio::io_context& context_;
   beast::tcp_stream stream_;
   RequestCallback done_;
+  std::optional<foundation::Instant> sendBefore_;
   beast::http::request<beast::http::string_body> request_;
   beast::flat_buffer buffer_;
   beast::http::response_parser<beast::http::string_body> parser_;
--- a/packages/http/asyncrequest.h
+++ b/packages/http/asyncrequest.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -19,13 +20,17 @@
   std::string target_;
   std::map<std::string, std::string> headers_;
   std::string body_;
+  //! The request is not sent at or after this time. Empty: no limit.
+  std::optional<foundation::Instant> sendBefore_ = {};
 };
 
 using RequestCallback = std::function<void(HttpResult)>;
 
 //! Sends a request over a separate connection, without blocking, and calls
 //! aDone once on aContext with the response or the error. aTimeout applies to
-//! the whole exchange. Errors: std::errc::timed_out, or a system error.
+//! the whole exchange. Errors: std::errc::timed_out,
+//! std::errc::operation_canceled if sendBefore_ has passed before the request
+//! could be sent, or a system error.
 void
 SendRequest(boost::asio::io_context& aContext,
             OutgoingRequest aRequest,
