--- a/apps/wigeonlbd/tests/consensusmember_tests.cpp
+++ b/apps/wigeonlbd/tests/consensusmember_tests.cpp
@@ -28,6 +28,7 @@
   CreateGroup(single, "kept");
   REQUIRE(HasGroup(single, "kept"));
   const auto term = single.member_->Consensus().hardState_.term();
+  const auto lastIndex = consensus::LastIndex(single.member_->Consensus().log_);
 
   single.files_.spaceLeft_ = row.spaceLeft_;
   single.files_.syncFails_ = row.syncFails_;
@@ -48,6 +49,8 @@
   CHECK(single.replaced_ == 1);
   CHECK(HasGroup(single, "kept"));
   CHECK(single.member_->Consensus().hardState_.term() > term);
+  // Fences of the new leadership are higher than those of the former one.
+  CHECK(single.member_->FirstIndexOfTerm() > lastIndex);
   CreateGroup(single, "later");
   CHECK(HasGroup(single, "later"));
 }
