The owner's log tells which statement was refused and which queue it waited in

The line said neither whether it was a read or a write, nor which of the two queues it waited in, so that a full primary, full replicas and pinned connections looked the same.

Change: request-finished has statement, queued_primary and open_transactions.

--- a/apps/wigeonlbd/tests/requestlog_tests.cpp
+++ b/apps/wigeonlbd/tests/requestlog_tests.cpp
@@ -30,6 +30,7 @@
     { { .event_ = RequestEvent::Finished,
         .request_ = { "", "10.0.0.1", 7, 3 },
         .group_ = "g",
+        .class_ = wire::STATEMENT_PRIMARY_READ,
         .outcome_ = wire::OUTCOME_UNKNOWN,
         .sqlstate_ = "08007",
         .target_ = "a",
@@ -38,12 +39,14 @@
         .grantTerm_ = 2,
         .leaseRemaining_ = 640ms,
         .queued_ = 5,
+        .queuedForPrimary_ = 4,
+        .openTransactions_ = 1,
         .newest_ = { 2, 11 },
         .newestAge_ = 30ms },
       "event=request-finished session=10.0.0.1/7 attempt=3 group=g "
-      "outcome=unknown sqlstate=08007 target=a floor=2/9 took_ms=3 "
-      "grant_term=2 grant_left_ms=640 queued=5 newest=2/11 "
-      "newest_age_ms=30" },
+      "statement=primary-read outcome=unknown sqlstate=08007 target=a "
+      "floor=2/9 took_ms=3 grant_term=2 grant_left_ms=640 queued=5 "
+      "queued_primary=4 open_transactions=1 newest=2/11 newest_age_ms=30" },
     { { .event_ = RequestEvent::TransactionDiffers,
         .request_ = { "r1", "10.0.0.1", 7, 9 },
         .group_ = "g",
--- a/apps/wigeonlbd/traffic/ownerlog.cpp
+++ b/apps/wigeonlbd/traffic/ownerlog.cpp
@@ -21,6 +21,7 @@
                         std::get<2>(aSession.key_),
                         request.request() };
   decision.group_ = aGroup;
+  decision.class_ = request.statement_class();
   if (request.has_transaction()) {
     decision.transaction_ = request.transaction();
   }
@@ -67,6 +68,8 @@
   decision.grantTerm_ = groupStatus.grantTerm_;
   decision.leaseRemaining_ = groupStatus.leaseRemaining_;
   decision.queued_ = groupStatus.queued_;
+  decision.queuedForPrimary_ = groupStatus.queuedForPrimary_;
+  decision.openTransactions_ = groupStatus.openTransactions_;
   decision.newest_ = groupStatus.newest_;
   decision.newestAge_ = groupStatus.newestAge_;
   settings_.log_->Write(decision, now);
--- a/apps/wigeonlbd/traffic/requestlog.cpp
+++ b/apps/wigeonlbd/traffic/requestlog.cpp
@@ -65,6 +65,14 @@
   if (aDecision.queued_) {
     aFields.emplace_back("queued", std::to_string(*aDecision.queued_));
   }
+  if (aDecision.queuedForPrimary_) {
+    aFields.emplace_back("queued_primary",
+                         std::to_string(*aDecision.queuedForPrimary_));
+  }
+  if (aDecision.openTransactions_) {
+    aFields.emplace_back("open_transactions",
+                         std::to_string(*aDecision.openTransactions_));
+  }
   AddPosition(aFields, "newest", aDecision.newest_);
   if (aDecision.newestAge_) {
     aFields.emplace_back("newest_age_ms",
@@ -105,6 +113,27 @@
   }
 }
 
+std::string_view
+StatementClassName(wire::StatementClass aClass)
+{
+  switch (aClass) {
+    case wire::STATEMENT_READ:
+      return "read";
+    case wire::STATEMENT_PRIMARY_READ:
+      return "primary-read";
+    case wire::STATEMENT_BEGIN:
+      return "begin";
+    case wire::STATEMENT_BEGIN_READ:
+      return "begin-read";
+    case wire::STATEMENT_COMMIT:
+      return "commit";
+    case wire::STATEMENT_ROLLBACK:
+      return "rollback";
+    default:
+      return "write";
+  }
+}
+
 std::vector<LogField>
 BuildLogFields(const RequestDecision& aDecision)
 {
@@ -120,6 +149,10 @@
   if (aDecision.transaction_) {
     fields.emplace_back("transaction", std::to_string(*aDecision.transaction_));
   }
+  if (aDecision.class_) {
+    fields.emplace_back("statement",
+                        std::string(StatementClassName(*aDecision.class_)));
+  }
   if (aDecision.outcome_) {
     fields.emplace_back("outcome",
                         std::string(OutcomeName(*aDecision.outcome_)));
--- a/apps/wigeonlbd/traffic/requestlog.h
+++ b/apps/wigeonlbd/traffic/requestlog.h
@@ -34,6 +34,9 @@
 std::string_view
 OutcomeName(wire::Outcome aOutcome);
 
+std::string_view
+StatementClassName(wire::StatementClass aClass);
+
 //! Identifies a request in the log lines of all hosts.
 struct RequestName
 {
@@ -49,8 +52,9 @@
   RequestEvent event_ = RequestEvent::Answered;
   RequestName request_;
   std::string_view group_;
-  std::string_view database_;            //!< empty at the owner
-  std::optional<wire::Outcome> outcome_; //!< empty: it goes on
+  std::string_view database_;                 //!< empty at the owner
+  std::optional<wire::StatementClass> class_; //!< empty at the entry host
+  std::optional<wire::Outcome> outcome_;      //!< empty: it goes on
   std::string_view sqlstate_;
   std::string_view reason_;
   //! Number of the request that began the transaction to which the request
@@ -72,6 +76,8 @@
   std::optional<std::uint64_t> grantTerm_;
   foundation::Duration leaseRemaining_{ 0 };
   std::optional<std::size_t> queued_;
+  std::optional<std::size_t> queuedForPrimary_; //!< of queued_
+  std::optional<std::size_t> openTransactions_;
   foundation::LogPosition newest_; //!< newest known position of the primary
   std::optional<foundation::Duration> newestAge_;
 };
--- a/packages/core/failover/internal/promotion.cpp
+++ b/packages/core/failover/internal/promotion.cpp
@@ -156,18 +156,20 @@
   progress.promotionRequestedAt_ = aContext.now_;
   const auto& state = aContext.state_;
   const auto choiceIndex = aContext.group_.choice_index();
-  aContext.actions_.push_back(PromoteTarget{ GetFence(aContext),
-                                             aContext.group_.group(),
-                                             aTarget.target(),
-                                             aTarget.address(),
-                                             progress.promotionTerm_,
-                                             aTarget.incarnation(),
-                                             GetChosenStart(aContext.group_),
-                                             aTarget.dialect(),
-                                             state.leaderTerm_,
-                                             choiceIndex,
-                                             choiceIndex < state.leaderIndex_,
-                                             state.leaderLeaseUntil_ });
+  aContext.actions_.push_back(PromoteTarget{
+    .fence_ = GetFence(aContext),
+    .group_ = aContext.group_.group(),
+    .target_ = aTarget.target(),
+    .address_ = aTarget.address(),
+    .term_ = progress.promotionTerm_,
+    .incarnation_ = aTarget.incarnation(),
+    .startOffset_ = GetChosenStart(aContext.group_),
+    .dialect_ = aTarget.dialect(),
+    .leaderTerm_ = state.leaderTerm_,
+    .choiceIndex_ = choiceIndex,
+    .chosenByEarlierLeader_ = choiceIndex < state.leaderIndex_,
+    .leaseUntil_ = state.leaderLeaseUntil_,
+  });
 }
 
 //! False when the chosen target lost its data: its log ends before the start
--- a/packages/core/traffic/trafficstate.cpp
+++ b/packages/core/traffic/trafficstate.cpp
@@ -243,7 +243,10 @@
     status.grantTerm_ = group.grant_->term_;
     status.leaseRemaining_ = group.grant_->expires_ - aNow;
   }
-  status.queued_ = CollectGauges(aState).queued_;
+  const auto gauges = CollectGauges(aState);
+  status.queued_ = gauges.queued_;
+  status.queuedForPrimary_ = group.primaryQueue_.size_;
+  status.openTransactions_ = gauges.openTransactions_;
   status.newest_ = routing::GetNewestPosition(group.samples_);
   status.newestAge_ =
     routing::GetStalenessBound(group.samples_, status.newest_, aNow);
--- a/packages/core/traffic/trafficstate.h
+++ b/packages/core/traffic/trafficstate.h
@@ -117,6 +117,8 @@
   std::optional<std::uint64_t> grantTerm_; //!< empty without a grant
   Duration leaseRemaining_{ 0 };
   std::size_t queued_ = 0;
+  std::size_t queuedForPrimary_ = 0; //!< of queued_
+  std::size_t openTransactions_ = 0;
   //! Newest known position of the primary; term 0 when none is known.
   LogPosition newest_;
   std::optional<Duration> newestAge_;
