A leader that steps down helps no other to lead inside its lease

What callers could see: two leaders request promotions of one group inside one lease; at a platform that checks no fences the later request to arrive wins, which may be the former leader's, and writes that the other primary acknowledged are lost.

Cause: a leader that hears of a higher term steps down at once, and could vote at once. Its lease rests on its own vote and those that it has heard, so that vote alone lets another member lead while the lease, as it was read before, still runs: a promotion carries the end of the lease with it and leaves its host until then. It takes a pause of a leader of 300 ms in which another member wins the pre-vote, and a follower that hears the leader again before the vote request reaches it.

Ruled out: the same for a voter that restarts (it refuses votes from its start on), that lost its disk (it abstains), or whose disk refuses writes (it ignores all events).

Change: a leader that steps down refuses votes for the shortest election timeout, as if it had just heard a leader.

--- a/packages/core/consensus/internal/stepcontext.cpp
+++ b/packages/core/consensus/internal/stepcontext.cpp
@@ -146,6 +146,9 @@
   ConsensusState& state = aContext.state_;
   RaiseTerm(aContext, aTerm);
   if (state.role_ == Role::Leader) {
+    // Work that was begun under this host's lease goes on until its end. The
+    // host does not help another member to lead before.
+    state.lastLeaderContact_ = aContext.now_;
     ResetElectionTimer(aContext);
     AbandonProposals(aContext);
   }
--- a/packages/core/consensus/tests/election_tests.cpp
+++ b/packages/core/consensus/tests/election_tests.cpp
@@ -37,8 +37,61 @@
   return aNetwork.now_ - majorityAt;
 }
 
+// A member raises the term while the leader is silent: it wins the pre-vote,
+// but its vote requests are lost. The other follower then hears the leader
+// again, which renews its lease.
+void
+RaiseTermBesideLeader(SimulatedNetwork& aNetwork,
+                      const foundation::HostId& aLeader,
+                      const foundation::HostId& aCandidate,
+                      const foundation::HostId& aFollower)
+{
+  Isolate(aNetwork, aLeader);
+  const ConsensusState& candidate = aNetwork.members_[aCandidate].consensus_;
+  ConsensusState& follower = aNetwork.members_[aFollower].consensus_;
+  const auto end = aNetwork.now_ + 5s;
+  while (candidate.role_ != Role::Candidate && aNetwork.now_ < end) {
+    follower.electionDue_ = aNetwork.now_ + 1s; // it is slower
+    Run(aNetwork, 10ms);
+  }
+  REQUIRE(candidate.role_ == Role::Candidate);
+  std::erase_if(aNetwork.inFlightMessages_, [](const auto& aInFlight) {
+    return aInFlight.message_.has_vote_request();
+  });
+  Heal(aNetwork);
+  aNetwork.cutLinks_ = { { aLeader, aCandidate }, { aCandidate, aLeader } };
+  Run(aNetwork, 150ms); // a heartbeat and its answer
+}
+
 } // namespace
 
+TEST_CASE("no member leads before the end of a lease of a former leader",
+          "[consensus][election]")
+{
+  constexpr int kSeeds = 40;
+  int renewed = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    SimulatedNetwork network =
+      MakeNetwork({ .seed_ = seed, .lossPercent_ = 0, .duplicatePercent_ = 0 });
+    Run(network, 3s);
+    const auto leader = Leader(network);
+    REQUIRE_FALSE(leader.empty());
+    const auto* candidate = leader == "a" ? "b" : "a";
+    const auto* follower = leader == "c" ? "b" : "c";
+    RaiseTermBesideLeader(network, leader, candidate, follower);
+    const ConsensusState& old = network.members_[leader].consensus_;
+    renewed += HoldsLease(old, network.now_) ? 1 : 0;
+    // The leader hears of the higher term and steps down inside its lease.
+    Heal(network);
+    Run(network, 2s);
+    CAPTURE(seed);
+    CHECK_FALSE(Leader(network).empty());
+    CHECK(network.violations_.empty());
+  }
+  // The case has arisen.
+  CHECK(renewed > kSeeds / 4);
+}
+
 TEST_CASE("members that all restart elect a leader quickly",
           "[consensus][election]")
 {
--- a/packages/core/consensus/tests/simulatednetwork.h
+++ b/packages/core/consensus/tests/simulatednetwork.h
@@ -47,6 +47,13 @@
   int sent_ = 0;
 };
 
+//! The latest lease that a member has held.
+struct SeenLease
+{
+  std::uint64_t term_ = 0;
+  foundation::Instant end_;
+};
+
 //! Callbacks with the simulated time; each may be empty.
 struct NetworkObserver
 {
@@ -100,6 +107,7 @@
   // Observations for the checks of the invariants.
   std::map<std::uint64_t, foundation::HostId> leaders_;     //!< by term
   std::map<std::uint64_t, wire::ConsensusEntry> committed_; //!< by index
+  std::map<foundation::HostId, SeenLease> leases_;
   std::map<std::string, int> timesApplied_;
   std::uint64_t acknowledgedRevision_ = 0;
   std::set<std::string> violations_;
@@ -147,8 +155,8 @@
            std::uint64_t aToken,
            const foundation::HostId& aTo);
 
-//! Records a violation if two members hold leases at the same time, or if a
-//! member holds a lease although there is a newer leader.
+//! Records a violation if two members hold leases at the same time, or if there
+//! is a newer leader before the end of a lease that a member holds or has held.
 void
 CheckLeases(SimulatedNetwork& aNetwork);
 
