A message from a host's start before last does not shut out its present one

What callers could see: an owner drops all requests of a running host until one of the two restarts; their sessions get no answer from that owner.

Cause: an owner remembered the present and one former start of a host. A message that was held back while its host started twice named neither, was taken for a new start, and made the present start the former one, whose messages are dropped.

Change: all former starts of a host are remembered.

Evidence: the rows 1 2 3 1 and 1 2 3 1 3 3 of "a message of a host's former start is dropped" fail before (4 answers instead of 3, 4 instead of 5).

Result: test_trafficshard 403, test_lossysessions 3601 checks pass.

--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -115,6 +115,8 @@
     { { 1, 2, 1 }, 2 },
     { { 1, 2, 1, 2 }, 3 },
     { { 1, 2, 3 }, 3 },
+    { { 1, 2, 3, 1 }, 3 },
+    { { 1, 2, 3, 1, 3, 3 }, 5 },
   }));
   ShardFixture fixture;
   for (const std::uint64_t boot : row.boots_) {
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -172,10 +172,10 @@
   if (aMessage.boot() == boots.present_) {
     return true;
   }
-  if (aMessage.boot() == boots.former_) {
+  if (boots.former_.contains(aMessage.boot())) {
     return false; // held back since before the host was started again
   }
-  boots.former_ = std::exchange(boots.present_, aMessage.boot());
+  boots.former_.insert(std::exchange(boots.present_, aMessage.boot()));
   for (const auto& [name, owner] : owners_) {
     owner->OnHostLost(aMessage.from(), boots.present_);
   }
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -125,11 +126,12 @@
   std::map<foundation::GroupName, foundation::Instant> retiring_;
   std::vector<foundation::GroupName> closed_;
   boost::asio::steady_timer sweepTimer_;
-  //! Last seen starts of a host; 0 for none.
+  //! Starts of a host. All former ones are kept, because a message may be held
+  //! back while its host starts more than once.
   struct Boots
   {
-    std::uint64_t present_ = 0;
-    std::uint64_t former_ = 0;
+    std::uint64_t present_ = 0; //!< 0 before the first message
+    std::set<std::uint64_t> former_;
   };
   std::map<foundation::HostId, Boots> boots_;
 };
