A read is admitted only against the replicas that can serve it

Cause: the predicted wait of a queued read was divided by the slots of all replicas that accept work. Replicas that are unreachable, not admitted, or behind the read's floor or staleness bound were counted although the queue is never sent to them. With one of two replicas cut off, the prediction was half of the wait: the reads that were admitted beyond the real capacity waited until their deadline and were then rejected untried.

Change: WouldQueuedReadBeLate counts the slots of the targets that are eligible for this read, by the rule that also chooses the target.

--- a/packages/core/traffic/internal/reads.cpp
+++ b/packages/core/traffic/internal/reads.cpp
@@ -261,10 +261,12 @@
   std::size_t slots = 0;
   const Target* primary = FindPrimary(group);
   for (const auto& [name, target] : group.targets_) {
-    if (target.get() != primary && AcceptsWork(*target) &&
-        !routing::IsEjected(target->health_, aContext.now_)) {
-      slots += target->pool_.slots_;
-    }
+    const bool serves =
+      target.get() != primary &&
+      FindIneligibleReason(
+        group, *target, aRequest.floor_, aRequest.maxAge_, aContext.now_)
+        .empty();
+    slots += serves ? target->pool_.slots_ : 0;
   }
   const Duration wait = admission::PredictWaitWithMargin(
     group.readService_,
--- a/packages/core/traffic/tests/load_tests.cpp
+++ b/packages/core/traffic/tests/load_tests.cpp
@@ -177,6 +177,53 @@
   CHECK(group.violations_.empty());
 }
 
+TEST_CASE("reads are rejected early although some replicas cannot serve them",
+          "[load]")
+{
+  // One replica that takes 24 ms for a read serves 125 reads per second.
+  struct Row
+  {
+    std::function<void(FakeGroup&)> fail_;
+    Duration bound_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { [](FakeGroup&) {}, 50ms },
+    { [](FakeGroup& aGroup) { aGroup.Target(2).frozen_ = true; }, 50ms },
+    { [](FakeGroup& aGroup) {
+       aGroup.Target(2).down_ = true;
+       aGroup.BreakConnections(2);
+     },
+      50ms },
+    { [](FakeGroup& aGroup) {
+       aGroup.Target(2).counted_ = false;
+       aGroup.Announce();
+     },
+      50ms },
+  }));
+  FakeGroup group(Settings{}, 3, 3);
+  for (std::size_t i = 0; i < group.TargetCount(); ++i) {
+    group.Target(i).service_ = 24ms;
+  }
+  group.SetUp();
+  row.fail_(group);
+  group.Run(2s);
+  const auto outcome = RunLoad(group,
+                               { .perSecond_ = 1000,
+                                 .length_ = 10s,
+                                 .readShare_ = 0.7,
+                                 .deadline_ = 1s,
+                                 .sessions_ = 4000 });
+  const auto waited = Percentile(outcome.refusedAfter_, 0.99);
+  std::cout << "refused,unreachable replica,asked," << outcome.requests_
+            << ",done," << outcome.done_ << ",unknown," << outcome.unknown_
+            << ",refused," << outcome.refusedAfter_.size() << ",p50_us,"
+            << Percentile(outcome.refusedAfter_, 0.5).count() << ",p99_us,"
+            << waited.count() << '\n';
+  CHECK(waited <= row.bound_);
+  CHECK(outcome.unknown_ == 0);
+  CHECK(group.Violations().empty());
+}
+
 TEST_CASE("a read that would miss its deadline is not sent", "[load]")
 {
   const auto service = GENERATE(20ms, 30ms, 45ms, 70ms);
