Entry hosts spread their requests over a group's owners

What callers saw: on a large fleet the first owner of a group had most of its requests. In a data centre without an owner of the group every entry host tried the same owner first: with 300 hosts in five data centres, that one got 180 of them, though all three owners have the same share of the targets' slots; when it was lost, all went on to the same next one.

Cause: owners stood in the order of their rendezvous weight, which is the same at each host, with only those of the own data centre put in front.

Change: SortOwnersForEntry in core/grants, where the choice of the owners stands: the host itself, its data centre, the others, and within each rank an order of the host's own.

--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -321,19 +321,7 @@
 {
   std::vector<foundation::HostId> owners =
     grants::ChooseOwners(aGroup, hosts_, grants::GetOwnerCount(aGroup));
-  // Sorts this host to the front, then those of its data centre.
-  std::stable_partition(
-    owners.begin(), owners.end(), [this](const foundation::HostId& aHost) {
-      return std::any_of(
-        hosts_.begin(), hosts_.end(), [&](const wire::HostInfo& aInfo) {
-          return aInfo.host() == aHost &&
-                 aInfo.data_centre() == settings_.self_.data_centre();
-        });
-    });
-  std::stable_partition(
-    owners.begin(), owners.end(), [this](const foundation::HostId& aHost) {
-      return aHost == settings_.self_.host();
-    });
+  grants::SortOwnersForEntry(aGroup.group(), settings_.self_, hosts_, owners);
   return owners;
 }
 
--- a/packages/core/grants/owners.cpp
+++ b/packages/core/grants/owners.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string_view>
+#include <tuple>
 
 #include <xxhash.h>
 
@@ -125,6 +126,35 @@
   return owners;
 }
 
+void
+SortOwnersForEntry(const foundation::GroupName& aGroup,
+                   const wire::HostInfo& aEntryHost,
+                   std::span<const wire::HostInfo> aLiveHosts,
+                   std::vector<foundation::HostId>& aOwners)
+{
+  const auto isNear = [&](const foundation::HostId& aOwner) {
+    return std::ranges::any_of(aLiveHosts, [&](const auto& aHost) {
+      return aHost.host() == aOwner &&
+             aHost.data_centre() == aEntryHost.data_centre();
+    });
+  };
+  const auto& entry = aEntryHost.host();
+  const auto seed =
+    XXH64(aGroup.data(), aGroup.size(), XXH64(entry.data(), entry.size(), 0));
+  using Rank = std::tuple<bool, bool, XXH64_hash_t, foundation::HostId>;
+  std::vector<Rank> ranks;
+  for (const auto& owner : aOwners) {
+    ranks.emplace_back(owner != entry,
+                       !isNear(owner),
+                       XXH64(owner.data(), owner.size(), seed),
+                       owner);
+  }
+  std::ranges::sort(ranks);
+  std::ranges::transform(ranks, aOwners.begin(), [](const Rank& aRank) {
+    return std::get<foundation::HostId>(aRank);
+  });
+}
+
 bool
 MayBecomeOwner(const wire::GroupState& aGroup,
                std::span<const wire::HostInfo> aOwners,
--- a/packages/core/grants/owners.h
+++ b/packages/core/grants/owners.h
@@ -37,6 +37,17 @@
              std::span<const wire::HostInfo> aLiveHosts,
              std::size_t aCount);
 
+//! Sorts a group's owners in the order in which an entry host tries them:
+//! itself, then those of its data centre, then the others. Each owner has the
+//! same share of the targets' slots, so within each of these ranks every entry
+//! host has an order of its own: the requests of many entry hosts reach the
+//! owners evenly, also when one of them is lost.
+void
+SortOwnersForEntry(const foundation::GroupName& aGroup,
+                   const wire::HostInfo& aEntryHost,
+                   std::span<const wire::HostInfo> aLiveHosts,
+                   std::vector<foundation::HostId>& aOwners);
+
 //! Whether a host that joins may become an owner; false only if it certainly
 //! does not. aOwners are the hosts that ChooseOwners selected without it. From
 //! these and the new host alone, ChooseOwners selects the same owners as from
--- a/packages/core/grants/tests/owners_tests.cpp
+++ b/packages/core/grants/tests/owners_tests.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 #include <numeric>
 #include <set>
 
@@ -128,6 +129,54 @@
   }
 }
 
+TEST_CASE("entry hosts in data centres without an owner load no single owner",
+          "[owners]")
+{
+  // Each owner has a third of the targets' slots.
+  const std::vector<std::string> dataCentres{ "a", "b", "c", "d", "e" };
+  const bool isOneLost = GENERATE(false, true);
+  auto hosts = MakeHosts(300);
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    hosts[i].set_data_centre(dataCentres[i % dataCentres.size()]);
+  }
+  for (int i = 0; i < 20; ++i) {
+    auto group = MakeGroup("g" + std::to_string(i), "a");
+    group.add_targets()->set_data_centre("b");
+    group.add_targets()->set_data_centre("c");
+    const auto chosen = ChooseOwners(group, hosts, 3);
+    std::map<foundation::HostId, std::size_t> requests;
+    for (const auto& entry : hosts) {
+      auto owners = chosen;
+      SortOwnersForEntry(group.group(), entry, hosts, owners);
+      CHECK(std::ranges::is_permutation(owners, chosen));
+      const bool isLost = isOneLost && owners[0] == chosen[0];
+      ++requests[owners[isLost ? 1 : 0]];
+    }
+    const auto even = hosts.size() / (isOneLost ? 2 : 3);
+    for (const auto& [owner, count] : requests) {
+      CAPTURE(group.group(), owner, count, even);
+      CHECK(count * 4 <= even * 5);
+    }
+  }
+}
+
+TEST_CASE("an entry host prefers itself, then owners of its data centre",
+          "[owners]")
+{
+  const auto hosts = MakeHosts(10);
+  const auto index = GENERATE(range(0, 10));
+  const auto& entry = hosts[static_cast<std::size_t>(index)];
+  std::vector<foundation::HostId> owners{ "h0", "h1", "h2", "h3", "h4" };
+  SortOwnersForEntry("g", entry, hosts, owners);
+  if (index < 5) {
+    CHECK(owners.front() == entry.host());
+  }
+  const std::size_t near = index % 2 == 0 ? 3 : 2;
+  for (std::size_t i = 0; i < near; ++i) {
+    CHECK((owners[i].back() - '0') % 2 == index % 2);
+  }
+}
+
 TEST_CASE("shares, probes and control connections fit the limit", "[owners]")
 {
   const auto limit = GENERATE(0U, 2U, 3U, 5U, 20U, 30U, 101U);
