--- a/packages/core/grants/owners.cpp
+++ b/packages/core/grants/owners.cpp
@@ -143,6 +143,7 @@
     XXH64(aGroup.data(), aGroup.size(), XXH64(entry.data(), entry.size(), 0));
   using Rank = std::tuple<bool, bool, XXH64_hash_t, foundation::HostId>;
   std::vector<Rank> ranks;
+  ranks.reserve(aOwners.size());
   for (const auto& owner : aOwners) {
     ranks.emplace_back(owner != entry,
                        !isNear(owner),
