A stopping host answers the queries that have arrived before it closes their sessions

Cause: a connection counted as idle while a query lay unread in its socket. CloseIdle refused every session outside a query in one step of the event loop; the session shut its sending side, then read the query and dropped it. The longer the step, the older the dropped query. A connection that was accepted while the host closed was refused before its startup was read, and closing the listening socket reset the connections in its queue.

Change: a session ends only when nothing of a query is buffered or unread; sessions are told to end 16 at a step, so that what arrives meanwhile is read; a session that is opened while the host closes may send one query; queued connections are accepted before the listening socket closes. A session's end is logged with its reason and the age of the last byte read.

--- a/packages/caller/callerserver.cpp
+++ b/packages/caller/callerserver.cpp
@@ -20,6 +20,9 @@
 // Connections above the session limit whose startup packet is still read, so
 // that cancel requests are served and other callers receive the error.
 constexpr std::size_t kMaxExcessConnections = 64;
+// Sessions that are told to end in one step of the event loop. Between two
+// steps the queries that have arrived meanwhile are read.
+constexpr std::size_t kSessionsPerStep = 16;
 
 ErrorFields
 TooManySessionsError()
@@ -98,23 +101,17 @@
   void CloseIdle()
   {
     closing_ = true;
-    for (CallerSession& session : sessions_) {
-      session.RefuseWhenIdle(ShuttingDownError());
-    }
+    EndSessions(&CallerSession::RefuseWhenIdle, ShuttingDownError());
   }
 
   void DisconnectWhenIdle()
   {
-    for (CallerSession& session : sessions_) {
-      session.RefuseWhenIdle(HostIsolatedError());
-    }
+    EndSessions(&CallerSession::RefuseWhenIdle, HostIsolatedError());
   }
 
   void EndTransactions()
   {
-    for (CallerSession& session : sessions_) {
-      session.RefuseAfterQuery(TransactionRolledBackError());
-    }
+    EndSessions(&CallerSession::RefuseAfterQuery, TransactionRolledBackError());
   }
 
   void CloseAll()
@@ -134,6 +131,34 @@
   }
 
 private:
+  using SessionPointer = boost::intrusive_ptr<CallerSession>;
+  using End = void (CallerSession::*)(ErrorFields);
+
+  //! Ends the sessions that are open now.
+  void EndSessions(End aEnd, ErrorFields aError)
+  {
+    auto sessions = std::make_shared<std::deque<SessionPointer>>();
+    for (CallerSession& session : sessions_) {
+      sessions->emplace_back(&session);
+    }
+    EndNextSessions(sessions, aEnd, aError);
+  }
+
+  void EndNextSessions(std::shared_ptr<std::deque<SessionPointer>> aSessions,
+                       End aEnd,
+                       const ErrorFields& aError)
+  {
+    for (std::size_t i = 0; i < kSessionsPerStep && !aSessions->empty(); ++i) {
+      (aSessions->front().get()->*aEnd)(aError);
+      aSessions->pop_front();
+    }
+    if (!aSessions->empty()) {
+      boost::asio::post(Context(), [this, aSessions, aEnd, aError] {
+        EndNextSessions(aSessions, aEnd, aError);
+      });
+    }
+  }
+
   using Sessions = boost::intrusive::list<
     CallerSession,
     boost::intrusive::
@@ -186,11 +211,18 @@
   return {};
 }
 
-void
-CallerServer::Accept()
+CallerServer::Shard&
+CallerServer::NextShard()
 {
   Shard& shard = *shards_[nextShard_];
   nextShard_ = (nextShard_ + 1) % shards_.size();
+  return shard;
+}
+
+void
+CallerServer::Accept()
+{
+  Shard& shard = NextShard();
   acceptor_.async_accept(
     shard.Context(),
     [this, &shard](const error_code& aError, tcp::socket aSocket) {
@@ -215,6 +247,13 @@
     });
     return;
   }
+  AddSession(aShard, std::move(aSocket));
+  Accept();
+}
+
+void
+CallerServer::AddSession(Shard& aShard, CallerSession::Socket aSocket)
+{
   const std::size_t limit = options_.maxSessions_;
   const bool overLimit = sessionCount_ >= limit;
   refusedCount_ += overLimit ? 1 : 0;
@@ -226,13 +265,29 @@
         aShard.Add(std::move(socket), overLimit);
       });
   }
-  Accept();
+}
+
+// Closing the listening socket would reset the connections in its queue.
+void
+CallerServer::AcceptQueued()
+{
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    Shard& shard = NextShard();
+    tcp::socket socket(shard.Context());
+    acceptor_.accept(socket, error);
+    if (!error) {
+      AddSession(shard, std::move(socket));
+    }
+  }
 }
 
 void
 CallerServer::StopAccepting()
 {
   boost::asio::post(shards_.front()->Context(), [this] {
+    AcceptQueued();
     error_code ignored;
     acceptor_.close(ignored);
     retryTimer_.cancel();
--- a/packages/caller/callerserver.h
+++ b/packages/caller/callerserver.h
@@ -55,7 +55,8 @@
   //! The port that the server listens on.
   std::uint16_t Port() const { return port_; }
 
-  //! Closes the listening socket. Thread-safe.
+  //! Accepts the connections that wait in the listening socket's queue, and
+  //! closes it. Thread-safe.
   void StopAccepting();
 
   //! Closes every session with SQLSTATE 57P01, each as soon as it has no query
@@ -84,6 +85,9 @@
   class Shard;
 
   void Accept();
+  void AcceptQueued();
+  void AddSession(Shard& aShard, CallerSession::Socket aSocket);
+  Shard& NextShard();
   void OnAccepted(const boost::system::error_code& aError,
                   Shard& aShard,
                   CallerSession::Socket aSocket);
--- a/packages/caller/callersession.cpp
+++ b/packages/caller/callersession.cpp
@@ -17,8 +17,6 @@
 
 using boost::system::error_code;
 
-// Time for a refused caller to read the error and close the connection.
-constexpr std::chrono::milliseconds kLingerTimeoutMs(1000);
 // Larger output buffers are freed when they become empty.
 constexpr std::size_t kMaxRetainedBufferBytes = 65536;
 
@@ -79,6 +77,7 @@
   options_.protocol_->appendAccepted_(frames, aParameters, aKey);
   options_.protocol_->appendReady_(frames, status_);
   Send(std::move(frames));
+  AwaitFirstQuery();
   HandleInput();
 }
 
@@ -107,61 +106,9 @@
   std::string frames;
   options_.protocol_->appendReady_(frames, aStatus);
   Send(std::move(frames));
-  RefuseIfIdle();
   HandleInput();
 }
 
-void
-CallerSession::Refuse(ErrorFields aError)
-{
-  if (state_ == State::Closing || state_ == State::Closed) {
-    return;
-  }
-  aError.severity_ = "FATAL";
-  std::string frames;
-  options_.protocol_->appendFatal_(frames, aError);
-  Send(std::move(frames));
-  state_ = State::Closing;
-  timer_.cancel();
-  Read();
-}
-
-void
-CallerSession::RefuseWhenIdle(ErrorFields aError)
-{
-  if (!idleRefusal_) {
-    idleRefusal_ = std::move(aError);
-  }
-  RefuseIfIdle();
-}
-
-void
-CallerSession::RefuseAfterQuery(ErrorFields aError)
-{
-  afterQueryRefusal_ = std::move(aError);
-  RefuseIfIdle();
-}
-
-void
-CallerSession::RefuseAtStartup(ErrorFields aError)
-{
-  startupRefusal_ = std::move(aError);
-}
-
-void
-CallerSession::RefuseIfIdle()
-{
-  const bool inTransaction = status_ != TransactionStatus::Idle;
-  if (state_ == State::Query) {
-    return;
-  }
-  if (idleRefusal_ && !inTransaction) {
-    Refuse(*idleRefusal_);
-  } else if (afterQueryRefusal_) {
-    Refuse(*afterQueryRefusal_);
-  }
-}
-
 void
 CallerSession::Close()
 {
@@ -194,9 +141,8 @@
 {
   timer_.expires_after(aTimeout);
   timer_.async_wait([self = Pointer(this)](const error_code& aError) {
-    if (!aError &&
-        (self->state_ == State::Opening || self->state_ == State::Closing)) {
-      self->Close();
+    if (!aError) {
+      self->OnTimeout();
     }
   });
 }
@@ -231,6 +177,7 @@
     Close();
     return;
   }
+  lastReadAt_ = foundation::SteadyNow();
   if (state_ != State::Closing) {
     decoder_->Feed({ chunk_.data(), aBytes });
     HandleInput();
@@ -258,13 +205,16 @@
   while (HandleNext()) {
   }
   handlingInput_ = false;
+  EndIfIdle();
   Read();
 }
 
 bool
 CallerSession::HandleNext()
 {
-  if ((state_ != State::Opening && state_ != State::Ready) || OutputFull()) {
+  const bool reads = state_ == State::Opening || state_ == State::Ready ||
+                     state_ == State::Disconnecting;
+  if (!reads || OutputFull()) {
     return false;
   }
   std::optional<CallerInput> input;
@@ -317,7 +267,12 @@
 void
 CallerSession::Handle(const QueryInput& aInput)
 {
+  if (state_ == State::Disconnecting) {
+    AnswerNotRun();
+    return;
+  }
   state_ = State::Query;
+  awaitsFirstQuery_ = false;
   queryId_ = aInput.id_;
   observer_.OnQuery(*this, aInput.text_);
 }
@@ -406,14 +361,4 @@
   HandleInput();
 }
 
-// Shuts down the sending side only. Closing the socket with unread input would
-// reset the connection, and the caller might not receive the error.
-void
-CallerSession::Linger()
-{
-  error_code ignored;
-  socket_.shutdown(Socket::shutdown_send, ignored);
-  StartTimer(kLingerTimeoutMs);
-}
-
 } // namespace wigeonlb::caller
--- a/packages/caller/callersession.h
+++ b/packages/caller/callersession.h
@@ -110,9 +110,10 @@
   //! Sends the error with severity FATAL, then closes.
   void Refuse(ErrorFields aError);
 
-  //! Calls Refuse as soon as no query is in progress and no transaction is
-  //! open: immediately or after a later FinishQuery. When called several times,
-  //! the first error is sent.
+  //! Ends the session as soon as it has no unanswered query and no open
+  //! transaction. A query that has arrived is answered first, also one that is
+  //! still unread. A session that is not open yet may send its first query.
+  //! When called several times, the first error is sent.
   void RefuseWhenIdle(ErrorFields aError);
 
   //! Like RefuseWhenIdle, but does not wait for the end of an open transaction,
@@ -165,6 +166,8 @@
     Startup, //!< waiting for AcceptStartup
     Ready,   //!< waiting for a query
     Query,   //!< waiting for FinishQuery
+    //! The caller was told to disconnect. Its queries are not run any more.
+    Disconnecting,
     Closing, //!< writing queued output, then closes
     Closed,
   };
@@ -187,8 +190,17 @@
   void ScheduleWrite();
   void Write();
   void OnWritten(const boost::system::error_code& aError, std::size_t aBytes);
-  void RefuseIfIdle();
+  void OnTimeout();
+  void AwaitFirstQuery();
+  //! The error that ends the session now; null if it continues.
+  const ErrorFields* GetDueRefusal() const;
+  bool HasUnansweredInput();
+  void EndIfIdle();
+  void Disconnect(const ErrorFields& aError);
+  void AnswerNotRun();
+  void BeginClosing();
   void Linger();
+  void LogEnd(std::string_view aReason);
 
   boost::asio::io_context& context_;
   Socket socket_;
@@ -205,9 +217,14 @@
   bool handlingInput_ = false;
   bool writePosted_ = false;
   bool writePending_ = false;
+  //! The session was opened while it was to be refused when idle, and has not
+  //! sent a query yet.
+  bool awaitsFirstQuery_ = false;
   std::optional<ErrorFields> idleRefusal_;
   std::optional<ErrorFields> afterQueryRefusal_;
   std::optional<ErrorFields> startupRefusal_;
+  std::optional<ErrorFields> disconnectError_; //!< sent to the caller
+  foundation::Instant lastReadAt_{};
   std::unique_ptr<Decoder> decoder_;
   std::string queryId_;
   std::array<char, kChunkBytes> chunk_;
--- a/packages/caller/pgprotocol.cpp
+++ b/packages/caller/pgprotocol.cpp
@@ -183,17 +183,10 @@
 }
 
 constexpr Protocol kPostgresql = {
-  MakeDecoder,
-  AppendAccepted,
-  AppendReadyForQuery,
-  AppendErrorResponse,
-  AppendErrorResponse,
-  AppendParameterStatus,
-  AppendRowDescription,
-  AppendDataRow,
-  AppendCommandComplete,
-  AppendCommandComplete,
-  AppendEmptyQueryResponse,
+  MakeDecoder,           AppendAccepted,        AppendReadyForQuery,
+  AppendErrorResponse,   AppendErrorResponse,   nullptr,
+  AppendParameterStatus, AppendRowDescription,  AppendDataRow,
+  AppendCommandComplete, AppendCommandComplete, AppendEmptyQueryResponse,
 };
 
 } // namespace
--- a/packages/caller/protocol.h
+++ b/packages/caller/protocol.h
@@ -82,6 +82,11 @@
   //! An error after which the connection is closed.
   void (*appendFatal_)(std::string& aFrames, const ErrorFields& aError);
   void (*appendError_)(std::string& aFrames, const ErrorFields& aError);
+  //! Tells a caller without a request in progress to disconnect. A caller whose
+  //! request crosses it takes it for that request's response: the request must
+  //! not be run, and appendReady_ completes the response. Null: appendFatal_ is
+  //! sent instead and the connection is closed.
+  void (*appendDisconnect_)(std::string& aFrames, const ErrorFields& aError);
   void (*appendParameter_)(std::string& aFrames,
                            std::string_view aName,
                            std::string_view aValue);
