Links can send what is queued before they stop

What callers saw: an owner that stopped left answers unsent; their entry hosts learned of it as a lost host and answered 502 for a write that had run.

Cause: PeerLinks::Stop dropped the messages in its queues, and both sockets had a linger of 0, so that what the sockets held was dropped as well.

Change: Stop takes a time limit for which the queues are flushed; the sockets get it as their linger.

--- a/packages/peer/internal/linkthread.cpp
+++ b/packages/peer/internal/linkthread.cpp
@@ -15,6 +15,7 @@
 using foundation::Duration;
 using foundation::Instant;
 using foundation::SteadyNow;
+using foundation::ToMilliseconds;
 
 namespace {
 
@@ -24,6 +25,9 @@
 //! Pause before messages that the byte budget delays are tried again.
 constexpr std::chrono::milliseconds kBudgetWaitMs{ 50 };
 
+//! Pause before full sockets are tried again while the links are stopped.
+constexpr std::chrono::milliseconds kLastSendPauseMs{ 5 };
+
 //! Allowance for a ping and a pong on a message of kMaxMessageBytes.
 constexpr std::int64_t kPiggybackBytes = 64;
 
@@ -57,7 +61,7 @@
 
 LinkThread::~LinkThread()
 {
-  Stop();
+  Stop(Duration::zero());
   // Not in Stop, because a concurrent Send may still write to it after Stop.
   if (wakeFd_ >= 0) {
     close(wakeFd_);
@@ -100,11 +104,12 @@
 }
 
 void
-LinkThread::Stop()
+LinkThread::Stop(Duration aSendLimit)
 {
   if (!thread_.joinable()) {
     return;
   }
+  sendLimit_ = aSendLimit;
   stopping_ = true;
   wakePending_ = false;
   Wake();
@@ -147,8 +152,36 @@
       std::this_thread::sleep_for(pause);
     }
   }
+  SendQueuedMessages();
+  CloseLinks();
+}
+
+void
+LinkThread::SendQueuedMessages()
+{
+  const Instant until = SteadyNow() + sendLimit_;
+  for (Instant now = SteadyNow(); now < until; now = SteadyNow()) {
+    FlushLinks(now);
+    if (pendingLinks_.empty()) {
+      return;
+    }
+    std::this_thread::sleep_for(kLastSendPauseMs);
+    for (const LinkPtr& link : pendingLinks_) {
+      link->blocked_ = false;
+    }
+  }
+}
+
+//! The sockets send what they hold in the background, until the context ends.
+void
+LinkThread::CloseLinks()
+{
   for (const std::vector<LinkPtr>* links : { &links_, &pendingLinks_ }) {
     for (const LinkPtr& link : *links) {
+      if (link->dealer_) {
+        link->dealer_.set(zmq::sockopt::linger,
+                          static_cast<int>(ToMilliseconds(sendLimit_)));
+      }
       CloseSocket(*link);
     }
   }
--- a/packages/peer/internal/linkthread.h
+++ b/packages/peer/internal/linkthread.h
@@ -47,7 +47,8 @@
 
   //! Binds the socket and starts the thread. Errors: BadAddress.
   std::error_code Start();
-  void Stop();
+  //! Sends the queued messages for at most aSendLimit, and stops the thread.
+  void Stop(foundation::Duration aSendLimit);
 
   //! Wakes the thread up. Callable from any thread.
   void Wake();
@@ -74,6 +75,9 @@
   void Pong(Link& aLink, foundation::Instant aNow);
   void MarkLost(Link& aLink);
   void FlushLinks(foundation::Instant aNow);
+  //! Sends what is queued until sendUntil_. Nothing is received meanwhile.
+  void SendQueuedMessages();
+  void CloseLinks();
   std::chrono::milliseconds ComputeWaitTime() const;
   void Wait();
   void DrainWakeUps();
@@ -87,6 +91,8 @@
   int wakeFd_ = -1;
   std::atomic<bool> wakePending_{ false };
   std::atomic<bool> stopping_{ false };
+  //! Set before stopping_.
+  foundation::Duration sendLimit_{ 0 };
   std::thread thread_;
 
   std::uint64_t version_ = 0;
--- a/packages/peer/peerlinks.cpp
+++ b/packages/peer/peerlinks.cpp
@@ -62,10 +62,10 @@
 }
 
 void
-PeerLinks::Stop()
+PeerLinks::Stop(foundation::Duration aSendLimit)
 {
   impl_->running_ = false;
-  impl_->thread_.Stop();
+  impl_->thread_.Stop(aSendLimit);
 }
 
 std::string
--- a/packages/peer/peerlinks.h
+++ b/packages/peer/peerlinks.h
@@ -127,9 +127,10 @@
   //! Binds and starts the link thread. Errors: BadAddress.
   std::error_code Start();
 
-  //! Stops the link thread; queued messages are dropped.
+  //! Stops the link thread. Messages that are queued are sent first, for at
+  //! most this time; the rest is dropped.
   //! NOTE The links can't be started again.
-  void Stop();
+  void Stop(foundation::Duration aSendLimit = foundation::Duration::zero());
 
   //! The `ip:port` that Start has bound.
   std::string BoundAddress() const;
--- a/packages/peer/tests/peerlinks_tests.cpp
+++ b/packages/peer/tests/peerlinks_tests.cpp
@@ -48,6 +48,22 @@
   CHECK(sent.messagesDropped_ == 0);
 }
 
+TEST_CASE("messages that are queued when a host stops are sent first",
+          "[peerlinks]")
+{
+  const std::size_t count = GENERATE(1, 3000);
+  TestHost left("left");
+  TestHost right("right");
+  Connect(left, right);
+  for (std::size_t request = 0; request < count; ++request) {
+    REQUIRE_FALSE(left.links_->Send("right", Frames(request, 1024)));
+  }
+  left.links_->Stop(kWaitLimitSeconds);
+  left.links_.reset();
+  REQUIRE(right.WaitMessages(count));
+  CHECK(right.messages_.back().forward_frames().request() == count - 1);
+}
+
 TEST_CASE("Send returns its errors immediately", "[peerlinks]")
 {
   PeerLinksSettings settings;
