A stopping owner refuses what arrives late and sends its last answers and releases

What callers saw: outcomes left unknown around rolling stops.

Cause: an owner stopped as soon as a count of its running requests, up to a tick old, was zero; nothing refused requests that arrived after the count, and its last answers and the releases of its grants were dropped with the links. The release heartbeat was due up to 60 ms after the process had ended, so the leader waited for the leases instead.

Change: once its sessions are being closed and the other hosts know that it drains, an owner answers requests 'not the owner', which sends them to another one; only statements of open transactions are run. It ends when nothing runs and no request has arrived for 200 ms, judged on the traffic threads after the refusal began. The release heartbeat is sent at once, and the links flush for at most 200 ms. Callers are accepted until no session is left or half of the drain deadline is over, as a balancer without enough ready hosts still sends them. The log tells what was left at the end of a drain.

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -34,6 +34,9 @@
 //! submitted it.
 constexpr Duration kInForceTimeoutMs = std::chrono::milliseconds(2000);
 
+//! Time for the last answers and releases to leave a host that stops.
+constexpr Duration kLastSendLimitMs = std::chrono::milliseconds(200);
+
 //! Interval at which target reports are collected from the traffic threads.
 constexpr Duration kReportIntervalMs = std::chrono::milliseconds(240);
 
@@ -241,7 +244,7 @@
   if (!thread_.joinable()) {
     return;
   }
-  links_->Stop();
+  links_->Stop(kLastSendLimitMs);
   work_.reset();
   context_.stop();
   thread_.join();
@@ -488,9 +491,12 @@
 }
 
 void
-ControlRuntime::PostReleaseAll()
+ControlRuntime::PostReleaseAll(std::function<void()> aDone)
 {
-  boost::asio::post(context_, [this] { agent_->ReleaseAll(); });
+  boost::asio::post(context_, [this, done = std::move(aDone)] {
+    agent_->ReleaseAll();
+    done();
+  });
 }
 
 } // namespace wigeonlb::daemon::control
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -37,6 +37,8 @@
 
   //! Opens the data folder and the peer links, and starts the thread.
   std::error_code Start(foundation::Findings& aFindings);
+  //! Stops the links and the thread. Messages that are queued are sent first,
+  //! for a limited time.
   void Stop();
 
   //! Adds or updates the addresses of the control seeds after a reload of the
@@ -53,8 +55,9 @@
                        std::uint32_t aConnections);
   void PostReleased(const foundation::GroupName& aGroup, std::uint64_t aTerm);
   void PostDraining();
-  //! Releases every grant; no request may be in flight any more.
-  void PostReleaseAll();
+  //! Releases every grant; no request may be in flight any more. aDone is
+  //! called on the control thread when the release is queued to be sent.
+  void PostReleaseAll(std::function<void()> aDone);
 
   boost::asio::io_context& Context() { return context_; }
   const foundation::HostId& HostName() const { return settings_.hostId_; }
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -204,6 +204,9 @@
   for (const auto& [group, term] : held) {
     Feed(grants::DrainedForRelease{ group, term });
   }
+  // The process ends before the next heartbeat would be due.
+  holder_.nextHeartbeat_ = SteadyNow();
+  Feed(grants::Tick{});
 }
 
 void
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -337,33 +337,25 @@
 Daemon::OnDrainTick()
 {
   const Duration waited = SteadyNow() - drainStarted_;
-  // Callers are accepted until the balancer has removed this host from its
-  // rotation, as it sends new ones until then.
-  if (!callersStopped_ && control_->IsOutOfRotation(drainStarted_)) {
-    callersStopped_ = true;
-    traffic_->Drain();
+  DrainCallers(waited);
+  // The other hosts have learned by then that this host is draining.
+  if (!requestsRefused_ && callersDraining_ && waited >= kMinDrainMs) {
+    requestsRefused_ = true;
+    traffic_->RefuseRequests();
   }
-  // From half of the drain deadline on, open transactions are ended, which
-  // leaves the other half for requests in progress.
-  if (!transactionsEnded_ && waited >= settings_.drainDeadline_ / 2) {
-    transactionsEnded_ = true;
-    traffic_->EndTransactions();
-  }
-  if (callersStopped_ && waited >= kMinDrainMs && IsDrained()) {
-    control_->PostReleaseAll();
-    signals_.stop();
+  if (IsDrained()) {
+    foundation::LogChange("daemon", "drained", DescribeDrain());
+    control_->PostReleaseAll(
+      [this] { boost::asio::post(signals_, [this] { signals_.stop(); }); });
     return;
   }
   if (waited >= settings_.drainDeadline_) {
     exitCode_ = 1;
-    foundation::LogWarning(
-      "daemon",
-      "drain-deadline",
-      { { "sessions", std::to_string(traffic_->SessionCount()) } });
+    foundation::LogWarning("daemon", "drain-deadline", DescribeDrain());
     signals_.stop();
     return;
   }
-  traffic_->UpdateRunningRequestCount();
+  traffic_->UpdateReleased();
   drainTimer_.expires_after(kDrainTickMs);
   drainTimer_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
@@ -372,11 +364,46 @@
   });
 }
 
+void
+Daemon::DrainCallers(Duration aWaited)
+{
+  // Sessions are kept until the balancer has removed this host from its
+  // rotation, as their callers would come back to it.
+  if (!callersDraining_ && control_->IsOutOfRotation(drainStarted_)) {
+    callersDraining_ = true;
+    traffic_->CloseIdleCallers();
+  }
+  // From half of the drain deadline on, open transactions are ended, which
+  // leaves the other half for requests in progress.
+  const bool halfOver = aWaited >= settings_.drainDeadline_ / 2;
+  if (!transactionsEnded_ && halfOver) {
+    transactionsEnded_ = true;
+    traffic_->EndTransactions();
+  }
+  // A balancer without enough hosts in rotation still sends callers.
+  if (callersDraining_ && !acceptingStopped_ &&
+      (halfOver || traffic_->SessionCount() == 0)) {
+    acceptingStopped_ = true;
+    traffic_->StopAccepting();
+  }
+}
+
 bool
 Daemon::IsDrained() const
 {
-  return traffic_->SessionCount() == 0 &&
-         traffic_->GetRunningRequestCount() == 0;
+  return acceptingStopped_ && !traffic_->IsAccepting() &&
+         traffic_->SessionCount() == 0 && traffic_->IsReleased();
+}
+
+std::vector<foundation::LogField>
+Daemon::DescribeDrain() const
+{
+  const Duration waited = SteadyNow() - drainStarted_;
+  return {
+    { "sessions", std::to_string(traffic_->SessionCount()) },
+    { "owner_released", traffic_->IsReleased() ? "yes" : "no" },
+    { "waited_ms", std::to_string(foundation::ToMilliseconds(waited)) },
+  };
 }
 
 } // namespace wigeonlb::daemon
--- a/apps/wigeonlbd/daemon.h
+++ b/apps/wigeonlbd/daemon.h
@@ -49,7 +49,9 @@
   void ExportGauges();
   void StartDraining();
   void OnDrainTick();
+  void DrainCallers(foundation::Duration aWaited);
   bool IsDrained() const;
+  std::vector<foundation::LogField> DescribeDrain() const;
   bool StartEndpoint(std::unique_ptr<http::HttpServer>& aServer,
                      const settings::ListenAddress& aAddress,
                      const http::HttpRouter& aRouter,
@@ -76,8 +78,10 @@
   boost::asio::steady_timer drainTimer_{ signals_ };
   boost::asio::steady_timer gaugeTimer_{ signals_ };
   boost::asio::steady_timer fileMonitorTimer_{ signals_ };
-  bool callersStopped_ = false;
+  bool callersDraining_ = false;  //!< sessions are closed as they become idle
+  bool acceptingStopped_ = false; //!< of callers
   bool transactionsEnded_ = false;
+  bool requestsRefused_ = false; //!< of entry hosts
   std::atomic<bool> draining_ = false;
   foundation::Instant drainStarted_;
   int exitCode_ = 0;
--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -129,6 +129,34 @@
   CHECK(fixture.port_.sent_.size() == row.answers_);
 }
 
+TEST_CASE("an owner that stops passes no request to its group, and is released "
+          "when none has arrived for a while",
+          "[trafficshard]")
+{
+  const bool stops = GENERATE(true, false);
+  ShardFixture fixture;
+  TrafficShard& shard = *fixture.shard_;
+  shard.GetOrCreateOwner("g");
+  if (stops) {
+    shard.RefuseRequests();
+  }
+  wire::PeerMessage message;
+  message.set_from("other");
+  message.set_boot(1);
+  wire::ForwardRequest& request = *message.mutable_forward_request();
+  request.set_group("g");
+  request.set_session(1);
+  request.set_request(1);
+  shard.OnPeerMessage(std::move(message));
+  REQUIRE(fixture.port_.sent_.size() == 1);
+  const wire::ForwardEnd& end = fixture.port_.sent_.back().second.forward_end();
+  CHECK(end.outcome() == wire::OUTCOME_NOT_RUN);
+  CHECK(end.not_owner() == stops);
+  const auto now = foundation::SteadyNow();
+  CHECK_FALSE(shard.IsReleased(now));
+  CHECK(shard.IsReleased(now + std::chrono::seconds(1)) == stops);
+}
+
 TEST_CASE("an incomplete answer ends the session", "[entrysession]")
 {
   struct Row
--- a/apps/wigeonlbd/traffic/trafficruntime.cpp
+++ b/apps/wigeonlbd/traffic/trafficruntime.cpp
@@ -1,5 +1,7 @@
 #include "traffic/trafficruntime.h"
 
+#include <algorithm>
+
 #include <boost/asio/post.hpp>
 #include <xxhash.h>
 
@@ -96,13 +98,6 @@
   arena_.execute([this] { tasks_.wait(); });
 }
 
-void
-TrafficRuntime::Drain()
-{
-  server_->StopAccepting();
-  server_->CloseIdle();
-}
-
 TrafficRuntime::Thread&
 TrafficRuntime::GetGroupThread(const foundation::GroupName& aGroup)
 {
@@ -257,27 +252,26 @@
 }
 
 void
-TrafficRuntime::UpdateRunningRequestCount()
+TrafficRuntime::RefuseRequests()
+{
+  WithEachShard([](TrafficShard& aShard) { aShard.RefuseRequests(); });
+}
+
+void
+TrafficRuntime::UpdateReleased()
 {
   for (const auto& thread : shards_) {
     boost::asio::post(thread->context_, [&thread = *thread] {
-      std::size_t running = 0;
-      for (const auto& [name, owner] : thread.shard_->Owners()) {
-        running += owner->RunningCount();
-      }
-      thread.running_ = running;
+      thread.released_ = thread.shard_->IsReleased(foundation::SteadyNow());
     });
   }
 }
 
-std::size_t
-TrafficRuntime::GetRunningRequestCount() const
+bool
+TrafficRuntime::IsReleased() const
 {
-  std::size_t running = 0;
-  for (const auto& thread : shards_) {
-    running += thread->running_;
-  }
-  return running;
+  return std::ranges::all_of(
+    shards_, [](const auto& aThread) { return aThread->released_.load(); });
 }
 
 void
--- a/apps/wigeonlbd/traffic/trafficruntime.h
+++ b/apps/wigeonlbd/traffic/trafficruntime.h
@@ -57,8 +57,12 @@
   //! Stops the threads; sessions that are still open are disconnected.
   void Stop();
 
-  //! Stops accepting callers and closes sessions as they become idle.
-  void Drain();
+  //! Closes sessions as they become idle. New callers are still accepted and
+  //! may send one request.
+  void CloseIdleCallers() { server_->CloseIdle(); }
+  //! Accepts the callers that wait, and no others.
+  void StopAccepting() { server_->StopAccepting(); }
+  bool IsAccepting() const { return server_->IsAccepting(); }
   //! Closes the sessions that are open now as they become idle. New callers are
   //! still accepted.
   void DisconnectCallersWhenIdle() { server_->DisconnectWhenIdle(); }
@@ -93,20 +97,20 @@
   //! results arrive by onReports_ and onConnections_.
   void CollectReports();
 
-  //! Starts an update of the count that GetRunningRequestCount returns.
-  void UpdateRunningRequestCount();
-  //! Number of sessions with a running request or an open transaction in the
-  //! owner groups of this host. Each traffic thread contributes its count from
-  //! the last UpdateRunningRequestCount that it has processed.
-  std::size_t GetRunningRequestCount() const;
+  //! Refuses the requests of entry hosts as an owner from now on.
+  void RefuseRequests();
+  //! Starts an update of what IsReleased returns.
+  void UpdateReleased();
+  //! Whether this host may stop as an owner, by the last UpdateReleased that
+  //! each traffic thread has processed. False before RefuseRequests.
+  bool IsReleased() const;
 
 private:
   struct Thread
   {
     boost::asio::io_context context_{ 1 };
     std::unique_ptr<TrafficShard> shard_;
-    //! Not zero initially, since the count is unknown before the first update.
-    std::atomic<std::size_t> running_ = 1;
+    std::atomic<bool> released_ = false;
   };
 
   void OnTermReleased(const foundation::GroupName& aGroup,
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -1,5 +1,6 @@
 #include "traffic/trafficshard.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -13,6 +14,10 @@
 constexpr foundation::Duration kSweepIntervalMs =
   std::chrono::milliseconds(200);
 
+//! Time without a request after which the entry hosts are assumed to use other
+//! owners than this host.
+constexpr foundation::Duration kQuietPeriodMs = std::chrono::milliseconds(200);
+
 //! Maximum time for running requests of an owner group that is being closed.
 constexpr foundation::Duration kRetireTimeoutMs =
   std::chrono::milliseconds(30000);
@@ -206,6 +211,9 @@
     default:
       return;
   }
+  if (aMessage.has_forward_request() && aMessage.from() != entry_.host_) {
+    lastRequestAt_ = foundation::SteadyNow();
+  }
   const auto found = owners_.find(*group);
   if (found == owners_.end()) {
     AnswerNotOwner(aMessage);
@@ -297,13 +305,23 @@
                                      const foundation::GroupName& aGroup,
                                      const wire::PeerMessage& aMessage) const
 {
-  return aMessage.has_forward_request() && retiring_.count(aGroup) != 0 &&
+  const bool retires = refusesRequests_ || retiring_.count(aGroup) != 0;
+  return aMessage.has_forward_request() && retires &&
          !aOwner.ContinuesTransaction({ aMessage.from(),
                                         aMessage.boot(),
                                         aMessage.forward_request().session() },
                                       aMessage.forward_request());
 }
 
+bool
+TrafficShard::IsReleased(foundation::Instant aNow) const
+{
+  const bool runs = std::ranges::any_of(owners_, [](const auto& aOwner) {
+    return aOwner.second->RunningCount() != 0;
+  });
+  return refusesRequests_ && !runs && aNow - lastRequestAt_ >= kQuietPeriodMs;
+}
+
 OwnerGroup&
 TrafficShard::GetOrCreateOwner(const foundation::GroupName& aGroup)
 {
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -81,6 +81,13 @@
   //! requests, so that entry hosts try another owner, and waits a bounded time
   //! for running ones.
   void RetireOwner(const foundation::GroupName& aGroup);
+  //! Refuses the requests of entry hosts from now on, so that they try another
+  //! owner. Statements of open transactions are still run.
+  void RefuseRequests() { refusesRequests_ = true; }
+  //! Whether this host may stop as an owner: it refuses requests, runs none,
+  //! and has received none for so long that the entry hosts use other owners.
+  bool IsReleased(foundation::Instant aNow) const;
+
   //! Returns the groups whose owner group was closed since the last call.
   std::vector<foundation::GroupName> ExtractClosedGroups();
 
@@ -104,6 +111,7 @@
   bool IsOfPresentBoot(const wire::PeerMessage& aMessage);
   void AnswerNotOwner(const wire::PeerMessage& aMessage);
   void ConfirmClose(const wire::PeerMessage& aMessage);
+  //! Whether a request is refused because its group, or this host, stops.
   bool IsRefusedWhileRetiring(const OwnerGroup& aOwner,
                               const foundation::GroupName& aGroup,
                               const wire::PeerMessage& aMessage) const;
@@ -125,6 +133,9 @@
   //! are still running are aborted.
   std::map<foundation::GroupName, foundation::Instant> retiring_;
   std::vector<foundation::GroupName> closed_;
+  bool refusesRequests_ = false;
+  //! When another host last sent a request.
+  foundation::Instant lastRequestAt_{};
   boost::asio::steady_timer sweepTimer_;
   //! Starts of a host. All former ones are kept, because a message may be held
   //! back while its host starts more than once.
--- a/packages/caller/callerserver.cpp
+++ b/packages/caller/callerserver.cpp
@@ -207,6 +207,7 @@
     return error;
   }
   port_ = acceptor_.local_endpoint(error).port();
+  accepting_ = true;
   Accept();
   return {};
 }
@@ -291,6 +292,7 @@
     error_code ignored;
     acceptor_.close(ignored);
     retryTimer_.cancel();
+    accepting_ = false;
   });
 }
 
--- a/packages/caller/callerserver.h
+++ b/packages/caller/callerserver.h
@@ -75,6 +75,9 @@
   //! Closes every session immediately. Thread-safe.
   void CloseAll();
 
+  //! Whether the listening socket is open.
+  bool IsAccepting() const { return accepting_; }
+
   //! The number of open sessions, including those that are still starting up.
   std::size_t SessionCount() const { return sessionCount_; }
 
@@ -98,6 +101,7 @@
   boost::asio::steady_timer retryTimer_;
   std::uint16_t port_ = 0;
   std::size_t nextShard_ = 0;
+  std::atomic<bool> accepting_ = false;
   std::atomic<std::size_t> sessionCount_ = 0;
   std::atomic<std::uint64_t> refusedCount_ = 0;
 };
--- a/packages/foundation/logging.cpp
+++ b/packages/foundation/logging.cpp
@@ -120,9 +120,15 @@
            std::string_view aEvent,
            std::initializer_list<LogField> aFields)
 {
-  LOG4CXX_WARN(
-    GetModuleLogger(aModule),
-    FormatLogLine(aEvent, std::span(aFields.begin(), aFields.size())));
+  LogWarning(aModule, aEvent, std::span(aFields.begin(), aFields.size()));
+}
+
+void
+LogWarning(std::string_view aModule,
+           std::string_view aEvent,
+           std::span<const LogField> aFields)
+{
+  LOG4CXX_WARN(GetModuleLogger(aModule), FormatLogLine(aEvent, aFields));
 }
 
 } // namespace wigeonlb::foundation
--- a/packages/foundation/logging.h
+++ b/packages/foundation/logging.h
@@ -52,6 +52,11 @@
            std::string_view aEvent,
            std::initializer_list<LogField> aFields = {});
 
+void
+LogWarning(std::string_view aModule,
+           std::string_view aEvent,
+           std::span<const LogField> aFields);
+
 //! The text of a line, without time, level and module.
 std::string
 FormatLogLine(std::string_view aEvent, std::span<const LogField> aFields);
