The restart of an owner ends only what its former start alone can know

In the logs of one data centre 67 of 68 are 'host X was lost', most within two seconds of X's start after a planned stop.

Cause: a link learns of a peer's restart by the first message of the new start, often long after that start has begun to serve. The loss of the former start was then applied to the host: requests and transactions that the present start had were ended as unknown, or rolled back, at the entry host, and closed at the owner if the entry host had restarted. The link was opened anew as well, which dropped what was on its way to the present start.

Change: a restart is an event of its own and carries the present boot. The link keeps its socket, which reconnects by itself, and its queues. An owner closes the sessions of former boots only. An entry host ends a transaction only if it was begun at another start, sends a read to the next owner, and asks the present start about any other request: one that it has not received it never runs, and only then is the outcome unknown.

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -107,6 +107,10 @@
     lostPeers_.SetReachable(aHost, false);
     traffic_.OnHostLost(aHost);
   };
+  callbacks.onPeerRestarted_ = [this](const foundation::HostId& aHost,
+                                      std::uint64_t aBoot) {
+    traffic_.OnHostRestarted(aHost, aBoot);
+  };
   callbacks.onPeerReachable_ = [this](const foundation::HostId& aHost) {
     lostPeers_.SetReachable(aHost, true);
   };
@@ -397,6 +401,8 @@
     case Body::kForwardCancel:
     case Body::kForwardClose:
     case Body::kForwardClosed:
+    case Body::kForwardCheck:
+    case Body::kForwardChecked:
       traffic_.OnPeerMessage(std::move(aMessage));
       return;
     default:
--- a/apps/wigeonlbd/tests/shardfixture.cpp
+++ b/apps/wigeonlbd/tests/shardfixture.cpp
@@ -129,6 +129,25 @@
   return close;
 }
 
+void
+ShardFixture::AnswerCheck(bool aKnown)
+{
+  const auto find = [&] {
+    return std::ranges::find_if(port_.sent_, [](const auto& aSent) {
+      return aSent.second.has_forward_check();
+    });
+  };
+  REQUIRE(RunUntil([&] { return find() != port_.sent_.end(); }));
+  const wire::ForwardCheck check = find()->second.forward_check();
+  port_.sent_.erase(find());
+  wire::PeerMessage message;
+  wire::ForwardChecked& checked = *message.mutable_forward_checked();
+  checked.set_session(check.session());
+  checked.set_request(check.request());
+  checked.set_known(aKnown);
+  shard_->OnPeerMessage(std::move(message));
+}
+
 void
 ShardFixture::ConfirmClose(const foundation::HostId& aFrom,
                            std::uint64_t aRequest)
@@ -203,6 +222,7 @@
 ShardFixture::SendEnd(wire::ForwardEnd aEnd)
 {
   wire::PeerMessage message;
+  message.set_boot(ownerBoot_);
   *message.mutable_forward_end() = std::move(aEnd);
   shard_->OnPeerMessage(std::move(message));
 }
--- a/apps/wigeonlbd/tests/shardfixture.h
+++ b/apps/wigeonlbd/tests/shardfixture.h
@@ -61,6 +61,8 @@
   std::optional<wire::ForwardClose> NextClose(
     const foundation::HostId& aHost,
     std::chrono::milliseconds aTimeout = std::chrono::seconds(10));
+  //! Runs until a ForwardCheck is sent, and answers it.
+  void AnswerCheck(bool aKnown);
   void ConfirmClose(const foundation::HostId& aFrom, std::uint64_t aRequest);
   void AnswerNotOwner(const wire::ForwardRequest& aRequest);
   //! Runs until the caller has read aText or its connection has ended. Returns
@@ -74,6 +76,7 @@
   wire::ForwardEnd MakeEnd(const wire::ForwardRequest& aRequest,
                            wire::Outcome aOutcome) const;
 
+  std::uint64_t ownerBoot_ = 0; //!< of the owner that answers
   boost::asio::io_context context_;
   RecordingPort port_;
   std::unique_ptr<TrafficShard> shard_;
--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -229,6 +229,118 @@
   CHECK(answer.substr(answer.size() - 1) == "I");
 }
 
+TEST_CASE("the restart of an owner ends only what its former start alone knows",
+          "[entrysession]")
+{
+  struct Row
+  {
+    std::string sql_;
+    std::uint64_t transactionBoot_; //!< 0: outside a transaction
+    std::optional<bool> known_;     //!< to the present start, if it is asked
+    std::string outcome_; //!< SQLSTATE; empty: it is answered by the owner
+  };
+  constexpr std::uint64_t kFormer = 1;
+  constexpr std::uint64_t kPresent = 2;
+  const auto row = GENERATE_COPY(values<Row>({
+    { "INSERT INTO t VALUES (1)", 0, true, "" },
+    { "INSERT INTO t VALUES (1)", 0, false, "08007" },
+    { "INSERT INTO t VALUES (1)", kPresent, {}, "" },
+    { "SELECT n FROM t", kPresent, {}, "" },
+    { "COMMIT", kPresent, {}, "" },
+    { "INSERT INTO t VALUES (1)", kFormer, {}, "40003" },
+    { "COMMIT", kFormer, {}, "08007" },
+  }));
+  ShardFixture fixture;
+  fixture.Connect();
+  if (row.transactionBoot_ != 0) {
+    fixture.ownerBoot_ = row.transactionBoot_;
+    fixture.BeginTransaction();
+  }
+  fixture.Query(row.sql_);
+  const auto [host, request] = fixture.NextRequest();
+  fixture.shard_->OnHostRestarted("h1", kPresent);
+  if (row.known_) {
+    fixture.AnswerCheck(*row.known_);
+  }
+  if (row.outcome_.empty()) {
+    fixture.ownerBoot_ = kPresent;
+    wire::ForwardEnd end = fixture.MakeEnd(request, wire::OUTCOME_DONE);
+    end.set_last_frames(MakeAnswer());
+    fixture.SendEnd(end);
+  }
+  const std::string answer = fixture.ReadUntil(kReady);
+  CHECK(answer.find(row.outcome_) != std::string::npos);
+  CHECK((answer.find("SELECT 1") != std::string::npos) == row.outcome_.empty());
+  CHECK(answer.ends_with("I"));
+}
+
+TEST_CASE("a read goes to the next owner when its owner has restarted",
+          "[entrysession]")
+{
+  const std::string sql = GENERATE("SELECT n FROM t", "BEGIN");
+  ShardFixture fixture;
+  fixture.Connect();
+  fixture.Query(sql);
+  fixture.NextRequest();
+  fixture.shard_->OnHostRestarted("h1", 2);
+  if (sql == "BEGIN") {
+    fixture.AnswerCheck(false);
+  }
+  CHECK(fixture.NextRequest().first == "h2");
+}
+
+TEST_CASE(
+  "an owner knows the requests that have arrived, and runs none that it "
+  "has denied",
+  "[trafficshard]")
+{
+  struct Row
+  {
+    std::uint64_t arrived_; //!< last request before the check; 0: none
+    std::uint64_t checked_;
+    bool known_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { 0, 3, false },
+    { 2, 3, false },
+    { 3, 3, true },
+    { 4, 3, true },
+  }));
+  ShardFixture fixture;
+  fixture.shard_->GetOrCreateOwner("g");
+  const auto makeMessage = [] {
+    wire::PeerMessage message;
+    message.set_from("other");
+    message.set_boot(1);
+    return message;
+  };
+  const auto sendRequest = [&](std::uint64_t aNumber) {
+    wire::PeerMessage message = makeMessage();
+    message.mutable_forward_request()->set_group("g");
+    message.mutable_forward_request()->set_session(5);
+    message.mutable_forward_request()->set_request(aNumber);
+    fixture.shard_->OnPeerMessage(std::move(message));
+  };
+  if (row.arrived_ != 0) {
+    sendRequest(row.arrived_);
+  }
+  fixture.port_.sent_.clear();
+  wire::PeerMessage message = makeMessage();
+  message.mutable_forward_check()->set_group("g");
+  message.mutable_forward_check()->set_session(5);
+  message.mutable_forward_check()->set_request(row.checked_);
+  fixture.shard_->OnPeerMessage(std::move(message));
+  REQUIRE(fixture.port_.sent_.size() == 1);
+  const auto& checked = fixture.port_.sent_.back().second.forward_checked();
+  CHECK(checked.session() == 5);
+  CHECK(checked.request() == row.checked_);
+  CHECK(checked.boot() == 1);
+  CHECK(checked.known() == row.known_);
+  fixture.port_.sent_.clear();
+  sendRequest(row.checked_);
+  CHECK(fixture.port_.sent_.empty());
+}
+
 TEST_CASE("a transaction ends when its owner is no longer the owner",
           "[entrysession]")
 {
--- a/apps/wigeonlbd/traffic/entryoutcome.cpp
+++ b/apps/wigeonlbd/traffic/entryoutcome.cpp
@@ -17,7 +17,8 @@
 }
 
 void
-EntrySession::AnswerOutcome(const wire::ForwardEnd& aEnd)
+EntrySession::AnswerOutcome(const wire::ForwardEnd& aEnd,
+                            std::uint64_t aOwnerBoot)
 {
   if (!aEnd.target_answered() && aEnd.outcome() == wire::OUTCOME_DONE) {
     // The owner ended the transaction without a statement on a target.
@@ -43,11 +44,11 @@
            .target_ = aEnd.served_by() });
   const char status =
     aEnd.transaction_status().empty() ? 'I' : aEnd.transaction_status()[0];
-  FinishAnswer(status);
+  FinishAnswer(status, aOwnerBoot);
 }
 
 void
-EntrySession::FinishAnswer(char aStatus)
+EntrySession::FinishAnswer(char aStatus, std::uint64_t aOwnerBoot)
 {
   waiting_ = false;
   deadlineTimer_.cancel();
@@ -57,6 +58,7 @@
     transaction_ = 0;
   } else if (transactionOwner_.empty()) {
     transactionOwner_ = owner_;
+    transactionOwnerBoot_ = aOwnerBoot;
     transaction_ = request_.request();
   }
   caller_->FinishQuery(status_);
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -283,7 +283,7 @@
 }
 
 void
-EntrySession::OnEnd(wire::ForwardEnd aEnd)
+EntrySession::OnEnd(wire::ForwardEnd aEnd, std::uint64_t aOwnerBoot)
 {
   if (!waiting_ || aEnd.request() != request_.request()) {
     return;
@@ -315,7 +315,7 @@
   if (aEnd.has_position()) {
     RaiseSessionFloor(aEnd.position());
   }
-  AnswerOutcome(aEnd);
+  AnswerOutcome(aEnd, aOwnerBoot);
 }
 
 void
@@ -395,6 +395,50 @@
     { GetOwnerLostSqlstate(), "outcome unknown: host " + aHost + " was lost" });
 }
 
+void
+EntrySession::OnHostRestarted(const foundation::HostId& aHost,
+                              std::uint64_t aBoot)
+{
+  if (transactionOwner_ == aHost) {
+    if (transactionOwnerBoot_ != aBoot) {
+      OnHostLost(aHost);
+    }
+    return;
+  }
+  if (!waiting_ || owner_ != aHost) {
+    return;
+  }
+  if (IsRead() || receivedPieces_ != 0) {
+    OnHostLost(aHost);
+  } else {
+    CheckRequest();
+  }
+}
+
+//! The request was sent before the restart was known, and may have reached
+//! either start.
+void
+EntrySession::CheckRequest()
+{
+  wire::PeerMessage message;
+  wire::ForwardCheck& check = *message.mutable_forward_check();
+  check.set_session(number_);
+  check.set_group(group_);
+  check.set_request(request_.request());
+  if (context_.port_->SendForward(owner_, std::move(message))) {
+    OnHostLost(owner_);
+  }
+}
+
+void
+EntrySession::OnChecked(const wire::ForwardChecked& aChecked)
+{
+  if (waiting_ && aChecked.request() == request_.request() &&
+      !aChecked.known()) {
+    OnHostLost(owner_);
+  }
+}
+
 void
 EntrySession::OnCancel()
 {
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -64,8 +64,14 @@
   void OnDrained();
   void OnClosed();
   void OnFrames(wire::ForwardFrames aFrames);
-  void OnEnd(wire::ForwardEnd aEnd);
+  //! aOwnerBoot is the start of the owner that has answered.
+  void OnEnd(wire::ForwardEnd aEnd, std::uint64_t aOwnerBoot);
   void OnHostLost(const foundation::HostId& aHost);
+  //! The host has started again; aBoot is its present start. What only its
+  //! former start can know is lost.
+  void OnHostRestarted(const foundation::HostId& aHost, std::uint64_t aBoot);
+  //! The present start of the owner tells whether it knows the request.
+  void OnChecked(const wire::ForwardChecked& aChecked);
 
   const caller::CancelKey& Key() const { return key_; }
   const foundation::GroupName& Group() const { return group_; }
@@ -121,8 +127,10 @@
   void AbandonRequest(const LocalError& aLocalError);
   void SendError(const LocalError& aLocalError);
   void FailLocally(const LocalError& aLocalError);
-  void FinishAnswer(char aStatus);
-  void AnswerOutcome(const wire::ForwardEnd& aEnd);
+  void FinishAnswer(char aStatus, std::uint64_t aOwnerBoot = 0);
+  void AnswerOutcome(const wire::ForwardEnd& aEnd, std::uint64_t aOwnerBoot);
+  //! Asks the owner whether it knows the request in progress.
+  void CheckRequest();
   void RaiseSessionFloor(const wire::LogPosition& aPosition);
   void SendCredit();
   SessionAtOwner GetSessionAt(const foundation::HostId& aOwner) const;
@@ -162,6 +170,8 @@
 
   //! Owner of the open transaction; empty outside a transaction.
   foundation::HostId transactionOwner_;
+  //! The start of that owner in which the transaction was begun.
+  std::uint64_t transactionOwnerBoot_ = 0;
   //! Number of the request that began the open transaction; 0 outside one.
   std::uint64_t transaction_ = 0;
   //! The owner of the open transaction was lost between two statements.
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -136,6 +136,20 @@
   CloseSession(session, aClose.request());
 }
 
+bool
+OwnerGroup::OnCheck(const foundation::HostId& aFrom,
+                    std::uint64_t aBoot,
+                    const wire::ForwardCheck& aCheck)
+{
+  OwnedSession& session =
+    sessions_.GetOrCreate(SessionKey(aFrom, aBoot, aCheck.session()));
+  const bool known = session.request_.request() >= aCheck.request();
+  if (!known) {
+    CloseSession(session, aCheck.request());
+  }
+  return known;
+}
+
 //! NOTE Ends of other requests that follow may erase idle sessions, so the
 //! session must not be used after Feed.
 void
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -73,6 +73,10 @@
   void OnClose(const foundation::HostId& aFrom,
                std::uint64_t aBoot,
                const wire::ForwardClose& aClose);
+  //! Whether the request has arrived. One that has not is closed.
+  bool OnCheck(const foundation::HostId& aFrom,
+               std::uint64_t aBoot,
+               const wire::ForwardCheck& aCheck);
   //! Closes the sessions of an entry host, except those of its boot aKeepBoot.
   //! 0 closes all of them: the host was lost.
   void OnHostLost(const foundation::HostId& aHost, std::uint64_t aKeepBoot);
--- a/apps/wigeonlbd/traffic/trafficruntime.cpp
+++ b/apps/wigeonlbd/traffic/trafficruntime.cpp
@@ -122,6 +122,10 @@
       return GetSessionThread(aMessage.forward_end().session());
     case Body::kForwardClosed:
       return GetSessionThread(aMessage.forward_closed().session());
+    case Body::kForwardChecked:
+      return GetSessionThread(aMessage.forward_checked().session());
+    case Body::kForwardCheck:
+      return GetGroupThread(aMessage.forward_check().group());
     case Body::kForwardCredit:
       return GetGroupThread(aMessage.forward_credit().group());
     case Body::kForwardCancel:
@@ -162,6 +166,15 @@
   WithEachShard([aHost](TrafficShard& aShard) { aShard.OnHostLost(aHost); });
 }
 
+void
+TrafficRuntime::OnHostRestarted(const foundation::HostId& aHost,
+                                std::uint64_t aBoot)
+{
+  WithEachShard([aHost, aBoot](TrafficShard& aShard) {
+    aShard.OnHostRestarted(aHost, aBoot);
+  });
+}
+
 void
 TrafficRuntime::SetRoutes(RoutingTablePointer aRoutes)
 {
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -127,7 +127,9 @@
   if (aMessage.has_forward_frames()) {
     OnFrames(std::move(*aMessage.mutable_forward_frames()));
   } else if (aMessage.has_forward_end()) {
-    OnEnd(std::move(*aMessage.mutable_forward_end()));
+    OnEnd(std::move(*aMessage.mutable_forward_end()), aMessage.boot());
+  } else if (aMessage.has_forward_checked()) {
+    OnChecked(aMessage.forward_checked());
   } else if (aMessage.has_forward_closed()) {
     OnClosed(aMessage.from(), aMessage.forward_closed());
   } else {
@@ -153,11 +155,20 @@
 }
 
 void
-TrafficShard::OnEnd(wire::ForwardEnd aEnd)
+TrafficShard::OnEnd(wire::ForwardEnd aEnd, std::uint64_t aOwnerBoot)
 {
   EntrySession* const entry = FindEntry(aEnd.session());
   if (entry != nullptr && IsForThisBoot(aEnd.boot())) {
-    entry->OnEnd(std::move(aEnd));
+    entry->OnEnd(std::move(aEnd), aOwnerBoot);
+  }
+}
+
+void
+TrafficShard::OnChecked(const wire::ForwardChecked& aChecked)
+{
+  EntrySession* const entry = FindEntry(aChecked.session());
+  if (entry != nullptr && IsForThisBoot(aChecked.boot())) {
+    entry->OnChecked(aChecked);
   }
 }
 
@@ -208,6 +219,9 @@
     case Body::kForwardClose:
       group = &aMessage.forward_close().group();
       break;
+    case Body::kForwardCheck:
+      AnswerCheck(aMessage);
+      return;
     default:
       return;
   }
@@ -260,6 +274,26 @@
   (void)entry_.port_->SendForward(aMessage.from(), std::move(answer));
 }
 
+//! NOTE A request that has not arrived is closed, so that it is not run if it
+//! arrives later.
+void
+TrafficShard::AnswerCheck(const wire::PeerMessage& aMessage)
+{
+  const wire::ForwardCheck& check = aMessage.forward_check();
+  const auto owner = owners_.find(check.group());
+  const bool known =
+    owner != owners_.end() &&
+    owner->second->OnCheck(aMessage.from(), aMessage.boot(), check);
+  wire::PeerMessage answer;
+  wire::ForwardChecked& checked = *answer.mutable_forward_checked();
+  checked.set_session(check.session());
+  checked.set_request(check.request());
+  checked.set_known(known);
+  checked.set_boot(aMessage.boot());
+  // If it is lost, the request ends at its deadline.
+  (void)entry_.port_->SendForward(aMessage.from(), std::move(answer));
+}
+
 void
 TrafficShard::AnswerNotOwner(const wire::PeerMessage& aMessage)
 {
@@ -282,6 +316,23 @@
   for (const auto& [name, owner] : owners_) {
     owner->OnHostLost(aHost, 0);
   }
+  WithEachEntry([&](EntrySession& aEntry) { aEntry.OnHostLost(aHost); });
+}
+
+void
+TrafficShard::OnHostRestarted(const foundation::HostId& aHost,
+                              std::uint64_t aBoot)
+{
+  for (const auto& [name, owner] : owners_) {
+    owner->OnHostLost(aHost, aBoot);
+  }
+  WithEachEntry(
+    [&](EntrySession& aEntry) { aEntry.OnHostRestarted(aHost, aBoot); });
+}
+
+void
+TrafficShard::WithEachEntry(const std::function<void(EntrySession&)>& aFunction)
+{
   std::vector<std::uint64_t> numbers;
   for (const auto& [number, entry] : entries_) {
     numbers.push_back(number);
@@ -289,7 +340,7 @@
   for (const std::uint64_t number : numbers) {
     EntrySession* const entry = FindEntry(number);
     if (entry != nullptr) {
-      entry->OnHostLost(aHost);
+      aFunction(*entry);
     }
   }
 }
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -72,6 +72,8 @@
 
   void OnPeerMessage(wire::PeerMessage aMessage);
   void OnHostLost(const foundation::HostId& aHost);
+  //! The host has started again; aBoot is its present start.
+  void OnHostRestarted(const foundation::HostId& aHost, std::uint64_t aBoot);
   void SetRoutes(RoutingTablePointer aRoutes);
 
   //! Returns the owner group, and creates it if there is none. Stops retiring
@@ -102,7 +104,9 @@
 private:
   bool IsForThisBoot(std::uint64_t aBoot) const;
   void OnFrames(wire::ForwardFrames aFrames);
-  void OnEnd(wire::ForwardEnd aEnd);
+  //! aOwnerBoot is the start of the owner that has answered.
+  void OnEnd(wire::ForwardEnd aEnd, std::uint64_t aOwnerBoot);
+  void OnChecked(const wire::ForwardChecked& aChecked);
   void OnClosed(const foundation::HostId& aFrom,
                 const wire::ForwardClosed& aClosed);
   void OnOwnerMessage(const wire::PeerMessage& aMessage);
@@ -111,6 +115,9 @@
   bool IsOfPresentBoot(const wire::PeerMessage& aMessage);
   void AnswerNotOwner(const wire::PeerMessage& aMessage);
   void ConfirmClose(const wire::PeerMessage& aMessage);
+  void AnswerCheck(const wire::PeerMessage& aMessage);
+  //! Calls the function on each entry session; it may close sessions.
+  void WithEachEntry(const std::function<void(EntrySession&)>& aFunction);
   //! Whether a request is refused because its group, or this host, stops.
   bool IsRefusedWhileRetiring(const OwnerGroup& aOwner,
                               const foundation::GroupName& aGroup,
--- a/packages/peer/internal/linkthreadreceive.cpp
+++ b/packages/peer/internal/linkthreadreceive.cpp
@@ -94,8 +94,8 @@
   return link;
 }
 
-//! Detects a restart of the peer. After a fast restart no ping times out, but
-//! the messages in flight are lost, so the link is reported as lost.
+//! Detects a restart of the peer. After a fast restart no ping times out. The
+//! socket reconnects by itself, so what is queued for the peer is kept.
 void
 LinkThread::CheckBoot(Link& aLink, std::uint64_t aBoot)
 {
@@ -103,9 +103,14 @@
     return;
   }
   aLink.formerBoot_ = std::exchange(aLink.boot_, aBoot);
-  if (aLink.formerBoot_ != 0 && aLink.dealer_) {
-    MarkLost(aLink);
-    Open(aLink, SteadyNow());
+  if (aLink.formerBoot_ == 0 || !aLink.dealer_) {
+    return;
+  }
+  aLink.pings_ = {}; // the former start does not answer them
+  aLink.inFlight_ = 0;
+  nextCheck_ = {};
+  if (!aLink.lost_ && callbacks_.onPeerRestarted_) {
+    callbacks_.onPeerRestarted_(aLink.endpoint_.host_, aBoot);
   }
 }
 
--- a/packages/peer/internal/messageclass.cpp
+++ b/packages/peer/internal/messageclass.cpp
@@ -13,6 +13,8 @@
     case wire::PeerMessage::kForwardCancel:
     case wire::PeerMessage::kForwardClose:
     case wire::PeerMessage::kForwardClosed:
+    case wire::PeerMessage::kForwardCheck:
+    case wire::PeerMessage::kForwardChecked:
       return TrafficClass::Forward;
     default:
       return TrafficClass::Control;
--- a/packages/peer/peerlinks.h
+++ b/packages/peer/peerlinks.h
@@ -83,9 +83,13 @@
   std::function<void(wire::PeerMessage&&)> onMessage_;
   //! The first pong was received after the link was opened, or after a loss.
   std::function<void(const foundation::HostId&)> onPeerReachable_;
-  //! The peer of an open link did not respond in time, or restarted, or was
-  //! removed by SetPeers.
+  //! The peer of an open link did not respond in time, or was removed by
+  //! SetPeers.
   std::function<void(const foundation::HostId&)> onPeerLost_;
+  //! The peer of an open link has started again, and now has this boot number.
+  //! Messages sent since its former start may have reached either start.
+  std::function<void(const foundation::HostId&, std::uint64_t)>
+    onPeerRestarted_;
 };
 
 //! Totals of one peer's link since SetPeers set its current address.
--- a/packages/peer/tests/testhost.h
+++ b/packages/peer/tests/testhost.h
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <set>
 
@@ -50,6 +51,10 @@
             lost_.insert(aHost);
           });
         },
+      .onPeerRestarted_ =
+        [this](const std::string& aHost, std::uint64_t aBoot) {
+          Update([&] { restarted_[aHost] = aBoot; });
+        },
     };
   }
 
@@ -92,6 +97,7 @@
   std::vector<wire::PeerMessage> messages_;
   std::set<std::string> reachable_;
   std::set<std::string> lost_;
+  std::map<std::string, std::uint64_t> restarted_; //!< present boots
   std::unique_ptr<PeerLinks> links_;
 };
 
