An answer that lost a part between two hosts ends with an error and READY

What callers saw: a part of the rows, then a closed connection: a request without a complete answer.

Cause: the entry host refused the session when an answer's pieces did not add up. On the platform's protocol the error came without READY; and the session, which had nothing to do with it, was lost as well.

Change: the request ends as unknown, as after the loss of its owner: error and READY, and what the owner may hold of it is given up. The session goes on.

Evidence: the table 'an incomplete answer ends the session' stated the former way; its rows now check that the response is complete with 08007, that no later part is sent, that the owner is told, and that the next query runs.

--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -157,7 +157,9 @@
   CHECK(shard.IsReleased(now + std::chrono::seconds(1)) == stops);
 }
 
-TEST_CASE("an incomplete answer ends the session", "[entrysession]")
+TEST_CASE(
+  "an answer that lost a part ends with an error, and its session goes on",
+  "[entrysession]")
 {
   struct Row
   {
@@ -183,10 +185,14 @@
   end.set_pieces(row.announcedPieces_);
   end.set_last_frames("last frames");
   fixture.SendEnd(end);
-  const std::string answer =
-    fixture.ReadUntil(row.complete_ ? kReady : "FATAL");
-  CHECK((answer.find("FATAL") == std::string::npos) == row.complete_);
+  const std::string answer = fixture.ReadUntil(kReady);
+  CHECK((answer.find("C08007") == std::string::npos) == row.complete_);
   CHECK((answer.find("last frames") != std::string::npos) == row.complete_);
+  CHECK(answer.ends_with(kReady + "I"));
+  CHECK(fixture.NextClose("h1", std::chrono::milliseconds(100)).has_value() ==
+        !row.complete_);
+  fixture.Query("SELECT n FROM t");
+  CHECK(fixture.NextRequest().second.request() > request.request());
 }
 
 TEST_CASE("the loss of an owner gives each request the right outcome",
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -304,9 +304,9 @@
   if (aEnd.pieces() != receivedPieces_) {
     // Part of the answer was lost between the hosts. The caller must not take
     // an incomplete answer for a complete one.
-    caller_->Refuse({ "FATAL",
-                      std::string(sqlstates::kOutcomeUnknown),
-                      "part of the answer was lost between two hosts" });
+    GiveUpAt(owner_);
+    AbandonRequest({ sqlstates::kOutcomeUnknown,
+                     "part of the answer was lost between two hosts" });
     return;
   }
   if (!aEnd.last_frames().empty()) {
