A request that is in progress when its host must stop gets a complete answer

What callers saw: at the drain deadline their connections were reset with a request in progress.

Cause: the host stopped at its drain deadline with whatever ran.

Change: at the deadline the requests that are left are answered, as rolled back or unknown, and given up at their owners; the process ends 100 ms later.

Evidence: the table 'a request in progress when its host stops gets a complete answer' (the former code has nothing to call).

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -35,7 +35,7 @@
 constexpr Duration kInForceTimeoutMs = std::chrono::milliseconds(2000);
 
 //! Time for the last answers and releases to leave a host that stops.
-constexpr Duration kLastSendLimitMs = std::chrono::milliseconds(200);
+constexpr Duration kLastSendLimitMs = std::chrono::milliseconds(150);
 
 //! Interval at which target reports are collected from the traffic threads.
 constexpr Duration kReportIntervalMs = std::chrono::milliseconds(240);
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -29,6 +29,9 @@
 //! this host is draining.
 constexpr Duration kMinDrainMs = std::chrono::milliseconds(1000);
 
+//! Time after the drain deadline for the last answers to reach the callers.
+constexpr Duration kLastAnswersMs = std::chrono::milliseconds(100);
+
 std::uint64_t
 MakeBootId()
 {
@@ -349,9 +352,13 @@
       [this] { boost::asio::post(signals_, [this] { signals_.stop(); }); });
     return;
   }
-  if (waited >= settings_.drainDeadline_) {
+  if (waited >= settings_.drainDeadline_ && !requestsAbandoned_) {
+    requestsAbandoned_ = true;
     exitCode_ = 1;
     foundation::LogWarning("daemon", "drain-deadline", DescribeDrain());
+    traffic_->AbandonRequests();
+  }
+  if (waited >= settings_.drainDeadline_ + kLastAnswersMs) {
     signals_.stop();
     return;
   }
--- a/apps/wigeonlbd/daemon.h
+++ b/apps/wigeonlbd/daemon.h
@@ -81,7 +81,8 @@
   bool callersDraining_ = false;  //!< sessions are closed as they become idle
   bool acceptingStopped_ = false; //!< of callers
   bool transactionsEnded_ = false;
-  bool requestsRefused_ = false; //!< of entry hosts
+  bool requestsRefused_ = false;   //!< of entry hosts
+  bool requestsAbandoned_ = false; //!< of callers, at the drain deadline
   std::atomic<bool> draining_ = false;
   foundation::Instant drainStarted_;
   int exitCode_ = 0;
--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -280,6 +280,35 @@
   CHECK(answer.ends_with("I"));
 }
 
+TEST_CASE("a request in progress when its host stops gets a complete answer",
+          "[entrysession]")
+{
+  struct Row
+  {
+    std::string sql_;
+    bool inTransaction_;
+    std::string outcome_; //!< SQLSTATE
+  };
+  const auto row = GENERATE(values<Row>({
+    { "INSERT INTO t VALUES (1)", false, "08007" },
+    { "SELECT n FROM t", false, "40003" },
+    { "INSERT INTO t VALUES (1)", true, "40003" },
+    { "COMMIT", true, "08007" },
+  }));
+  ShardFixture fixture;
+  fixture.Connect();
+  if (row.inTransaction_) {
+    fixture.BeginTransaction();
+  }
+  fixture.Query(row.sql_);
+  fixture.NextRequest();
+  fixture.shard_->AbandonRequests();
+  const std::string answer = fixture.ReadUntil(kReady);
+  CHECK(answer.find(row.outcome_) != std::string::npos);
+  CHECK(answer.ends_with(kReady + "I"));
+  CHECK(fixture.NextClose("h1"));
+}
+
 TEST_CASE("a read goes to the next owner when its owner has restarted",
           "[entrysession]")
 {
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -343,102 +343,6 @@
   caller_->FinishQuery(status_);
 }
 
-void
-EntrySession::OnDeadline()
-{
-  if (!waiting_) {
-    return;
-  }
-  // The owner has not reported an outcome: the owner or the link to it has
-  // failed.
-  GiveUpAt(owner_);
-  AbandonRequest({ GetOwnerLostSqlstate(),
-                   "outcome unknown: no answer from host " + owner_ +
-                     " within the deadline" });
-}
-
-void
-EntrySession::OnHostLost(const foundation::HostId& aHost)
-{
-  if (transactionOwner_ == aHost) {
-    const bool committing =
-      waiting_ && request_.statement_class() == wire::STATEMENT_COMMIT;
-    // The owner may still be running if only the link was lost. It must not
-    // keep the transaction open.
-    GiveUpAt(aHost);
-    if (!waiting_) {
-      transactionLost_ = true; // reported on the next statement
-      return;
-    }
-    AbandonRequest(committing
-                     ? LocalError{ sqlstates::kOutcomeUnknown,
-                                   "outcome unknown: host " + aHost +
-                                     " was lost during the commit" }
-                     : LocalError{ sqlstates::kTransactionLost,
-                                   "the transaction was rolled back: host " +
-                                     aHost + " was lost" });
-    return;
-  }
-  if (!waiting_ || owner_ != aHost) {
-    return;
-  }
-  GiveUpAt(aHost);
-  const bool begins = request_.statement_class() == wire::STATEMENT_BEGIN ||
-                      request_.statement_class() == wire::STATEMENT_BEGIN_READ;
-  if (begins || (IsRead() && receivedPieces_ == 0)) {
-    Log(RequestEvent::HandedOn,
-        { .outcome_ = wire::OUTCOME_UNKNOWN, .reason_ = "the owner was lost" });
-    DispatchRequest();
-    return;
-  }
-  AbandonRequest(
-    { GetOwnerLostSqlstate(), "outcome unknown: host " + aHost + " was lost" });
-}
-
-void
-EntrySession::OnHostRestarted(const foundation::HostId& aHost,
-                              std::uint64_t aBoot)
-{
-  if (transactionOwner_ == aHost) {
-    if (transactionOwnerBoot_ != aBoot) {
-      OnHostLost(aHost);
-    }
-    return;
-  }
-  if (!waiting_ || owner_ != aHost) {
-    return;
-  }
-  if (IsRead() || receivedPieces_ != 0) {
-    OnHostLost(aHost);
-  } else {
-    CheckRequest();
-  }
-}
-
-//! The request was sent before the restart was known, and may have reached
-//! either start.
-void
-EntrySession::CheckRequest()
-{
-  wire::PeerMessage message;
-  wire::ForwardCheck& check = *message.mutable_forward_check();
-  check.set_session(number_);
-  check.set_group(group_);
-  check.set_request(request_.request());
-  if (context_.port_->SendForward(owner_, std::move(message))) {
-    OnHostLost(owner_);
-  }
-}
-
-void
-EntrySession::OnChecked(const wire::ForwardChecked& aChecked)
-{
-  if (waiting_ && aChecked.request() == request_.request() &&
-      !aChecked.known()) {
-    OnHostLost(owner_);
-  }
-}
-
 void
 EntrySession::OnCancel()
 {
@@ -474,10 +378,4 @@
   return { aOwner, group_, number_ };
 }
 
-void
-EntrySession::GiveUpAt(const foundation::HostId& aOwner)
-{
-  context_.closes_->GiveUp(GetSessionAt(aOwner), request_.request());
-}
-
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -67,6 +67,8 @@
   //! aOwnerBoot is the start of the owner that has answered.
   void OnEnd(wire::ForwardEnd aEnd, std::uint64_t aOwnerBoot);
   void OnHostLost(const foundation::HostId& aHost);
+  //! This host stops before the request in progress is answered.
+  void OnHostStops();
   //! The host has started again; aBoot is its present start. What only its
   //! former start can know is lost.
   void OnHostRestarted(const foundation::HostId& aHost, std::uint64_t aBoot);
@@ -124,6 +126,8 @@
   void DispatchRequest();
   bool TryOwner(const foundation::HostId& aOwner);
   void OnDeadline();
+  //! Ends the request in progress, also at its owner, without its outcome.
+  void GiveUpRequest(const std::string& aReason);
   void AbandonRequest(const LocalError& aLocalError);
   void SendError(const LocalError& aLocalError);
   void FailLocally(const LocalError& aLocalError);
--- a/apps/wigeonlbd/traffic/trafficruntime.cpp
+++ b/apps/wigeonlbd/traffic/trafficruntime.cpp
@@ -264,6 +264,12 @@
   });
 }
 
+void
+TrafficRuntime::AbandonRequests()
+{
+  WithEachShard([](TrafficShard& aShard) { aShard.AbandonRequests(); });
+}
+
 void
 TrafficRuntime::RefuseRequests()
 {
--- a/apps/wigeonlbd/traffic/trafficruntime.h
+++ b/apps/wigeonlbd/traffic/trafficruntime.h
@@ -98,6 +98,9 @@
   //! results arrive by onReports_ and onConnections_.
   void CollectReports();
 
+  //! Answers the callers' requests that are still in progress, as unknown or
+  //! rolled back.
+  void AbandonRequests();
   //! Refuses the requests of entry hosts as an owner from now on.
   void RefuseRequests();
   //! Starts an update of what IsReleased returns.
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -330,6 +330,12 @@
     [&](EntrySession& aEntry) { aEntry.OnHostRestarted(aHost, aBoot); });
 }
 
+void
+TrafficShard::AbandonRequests()
+{
+  WithEachEntry([](EntrySession& aEntry) { aEntry.OnHostStops(); });
+}
+
 void
 TrafficShard::WithEachEntry(const std::function<void(EntrySession&)>& aFunction)
 {
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -74,6 +74,8 @@
   void OnHostLost(const foundation::HostId& aHost);
   //! The host has started again; aBoot is its present start.
   void OnHostRestarted(const foundation::HostId& aHost, std::uint64_t aBoot);
+  //! Ends the callers' requests that are still in progress: this host stops.
+  void AbandonRequests();
   void SetRoutes(RoutingTablePointer aRoutes);
 
   //! Returns the owner group, and creates it if there is none. Stops retiring
--- a/testing/harness/stop_tests.py
+++ b/testing/harness/stop_tests.py
@@ -11,7 +11,8 @@
 import sys
 import time
 
-from process_tests import GROUP, Load, run_named, started, wait_for_write
+from process_tests import (
+    GROUP, Load, primary_of, run_named, started, wait_for_write)
 
 IDLE_CALLERS = 400
 RESTARTS = 6
@@ -63,6 +64,24 @@
     assert host.wait(30) == 0
 
 
+def test_request_in_progress_at_the_drain_deadline(system):
+    """Its target does not respond, so the host stops before the answer."""
+    system.host_flags += ["--drain-deadline-ms", "1500"]
+    host = started(system)[0]
+    wait_for_write(host)
+    caller = Caller(host)
+    for text in ("BEGIN", "INSERT INTO probe VALUES (1)"):
+        caller.send(text)
+        caller.read_until("Z")
+    primary_of(system).set("silent", "on")
+    caller.send("COMMIT")
+    time.sleep(0.1)
+    host.signal(signal.SIGTERM)
+    types = caller.read_until("Z")
+    assert types == "EZ", f"the response is not complete: {types}"
+    assert host.wait(30) == 1
+
+
 def test_owners_restarted_in_turn(system):
     """Each restart is faster than the time after which a host counts as lost."""
     hosts = started(system, hosts=6)
