A host that has started again can answer those who have not noticed it

Cause: an entry host tells its address only on a link whose peer has not responded yet. After a fast restart the link still counts as reachable, so the present start of the peer got the request from a host that it did not know, and its answer 'not the owner' could not be sent; the error was dropped.

Change: messages tell the sender's address whenever the peer has not been heard for 100 ms, less than a restart takes. A restart is reported and logged also while the link is lost.

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -109,6 +109,7 @@
   };
   callbacks.onPeerRestarted_ = [this](const foundation::HostId& aHost,
                                       std::uint64_t aBoot) {
+    foundation::LogChange("peer", "peer-restarted", { { "host", aHost } });
     traffic_.OnHostRestarted(aHost, aBoot);
   };
   callbacks.onPeerReachable_ = [this](const foundation::HostId& aHost) {
--- a/packages/peer/internal/link.cpp
+++ b/packages/peer/internal/link.cpp
@@ -12,6 +12,9 @@
 
 constexpr int kSocketQueueMessages = 256;
 
+//! Less than a restart of the peer takes.
+constexpr std::chrono::milliseconds kIntroduceAfterMs{ 100 };
+
 //! A connection attempt is repeated after this time. Without it the kernel
 //! repeats the first packet only after a second, e.g. to a host without power.
 constexpr int kConnectTimeoutMs = 300;
@@ -82,13 +85,13 @@
          !TryCharge(*aContext.budget_, aMessage.payload_.size(), aContext.now_);
 }
 
-//! Serialized fields that tell a peer that has not responded yet where this
-//! host listens.
+//! Serialized fields that tell the peer where this host listens, if it may not
+//! know it.
 std::string
 BuildIntroduction(const Link& aLink, const SendContext& aContext)
 {
   wire::PeerMessage fields;
-  if (!aLink.reachable_) {
+  if (NeedsIntroduction(aLink, aContext.now_)) {
     fields.set_from_address(std::string(aContext.announcedAddress_));
   }
   return fields.SerializeAsString();
@@ -226,6 +229,12 @@
   }
 }
 
+bool
+NeedsIntroduction(const Link& aLink, foundation::Instant aNow)
+{
+  return !aLink.reachable_ || aNow - aLink.lastHeard_ > kIntroduceAfterMs;
+}
+
 bool
 HasPendingMessages(const Link& aLink)
 {
--- a/packages/peer/internal/link.h
+++ b/packages/peer/internal/link.h
@@ -70,6 +70,7 @@
   foundation::Instant openedAt_{};
   //! When to send again after the socket refused a ping or pong.
   foundation::Instant retryAt_{};
+  foundation::Instant lastHeard_{};  //!< when the peer last sent a message
   foundation::Instant lastUsed_{};   //!< by messages other than pings
   foundation::Instant lastPinged_{}; //!< when the peer last sent a ping
   std::uint64_t boot_ = 0;       //!< latest boot number of the peer; 0: unknown
@@ -114,6 +115,11 @@
 bool
 SendNow(Link& aLink, std::string_view aPayload, TrafficClass aClass);
 
+//! Whether messages should tell the peer where this host listens: it may not
+//! know it, or may have started again since it was last heard.
+bool
+NeedsIntroduction(const Link& aLink, foundation::Instant aNow);
+
 //! Parameters for sending from a queue.
 struct SendContext
 {
--- a/packages/peer/internal/linkthread.cpp
+++ b/packages/peer/internal/linkthread.cpp
@@ -298,7 +298,7 @@
 {
   wire::PeerMessage message = MakeEnvelope(settings_);
   message.mutable_ping()->set_sent_at_us(Microseconds(aNow));
-  if (!aLink.reachable_) {
+  if (NeedsIntroduction(aLink, aNow)) {
     message.set_from_address(settings_.announcedAddress_);
   }
   const bool sent =
--- a/packages/peer/internal/linkthreadreceive.cpp
+++ b/packages/peer/internal/linkthreadreceive.cpp
@@ -57,6 +57,7 @@
                     ? link->counters_.controlReceived_
                     : link->counters_.forwardReceived_;
     total += aFrame.size();
+    link->lastHeard_ = SteadyNow();
     CheckBoot(*link, message.boot());
     ProcessPings(*link, message);
   }
@@ -109,7 +110,7 @@
   aLink.pings_ = {}; // the former start does not answer them
   aLink.inFlight_ = 0;
   nextCheck_ = {};
-  if (!aLink.lost_ && callbacks_.onPeerRestarted_) {
+  if (callbacks_.onPeerRestarted_) {
     callbacks_.onPeerRestarted_(aLink.endpoint_.host_, aBoot);
   }
 }
--- a/packages/peer/tests/peerlinks_tests.cpp
+++ b/packages/peer/tests/peerlinks_tests.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 #include "peer/tests/testhost.h"
 
 namespace wigeonlb::peer {
@@ -262,6 +264,34 @@
   CHECK((!row.answered_ || joining.WaitMessages(1)));
 }
 
+TEST_CASE(
+  "a peer that has started again can answer a host that has not noticed "
+  "it",
+  "[peerlinks]")
+{
+  const std::string address = TestHost("former").links_->BoundAddress();
+  PeerLinksSettings settings;
+  settings.lostAfter_ = 2 * kWaitLimitSeconds;
+  settings.announcedAddress_ = address;
+  TestHost left("left", settings, address);
+  PeerLinksSettings restarted;
+  auto right = std::make_unique<TestHost>("right", restarted);
+  Connect(left, *right);
+  restarted.boot_ = 8;
+  const std::string rightAddress = right->links_->BoundAddress();
+  right.reset();
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  right = std::make_unique<TestHost>("right", restarted, rightAddress);
+  // A message may be lost with the connection to the former start.
+  REQUIRE(right->WaitUntil([&] {
+    (void)left.links_->Send("right", Frames(1));
+    return !right->messages_.empty();
+  }));
+  CHECK(left.restarted_.empty());
+  CHECK_FALSE(right->links_->Send("left", Frames(2)));
+  CHECK(left.WaitUntil([&] { return left.restarted_.contains("right"); }));
+}
+
 TEST_CASE("a peer known by its messages only is forgotten when it is unused",
           "[peerlinks]")
 {
