A read of the primary goes to the next owner when its owner is lost

Cause: only the class of reads that a replica may run was sent on.

Change: outside a transaction whatever has no lasting effect is sent to the next owner, as long as no part of an answer was passed on; one function says which statements these are, for this and for the error.

Evidence: the rows with FOR UPDATE of the two tables on lost and restarted owners end 40003 on the former code.

--- a/apps/wigeonlbd/traffic/entryloss.cpp
+++ b/apps/wigeonlbd/traffic/entryloss.cpp
@@ -59,9 +59,7 @@
   if (!waiting_ || owner_ != aHost) {
     return;
   }
-  const bool begins = request_.statement_class() == wire::STATEMENT_BEGIN ||
-                      request_.statement_class() == wire::STATEMENT_BEGIN_READ;
-  if (begins || (IsRead() && receivedPieces_ == 0)) {
+  if (HasNoEffect() && receivedPieces_ == 0) {
     GiveUpAt(aHost);
     Log(RequestEvent::HandedOn,
         { .outcome_ = wire::OUTCOME_UNKNOWN, .reason_ = "the owner was lost" });
@@ -84,7 +82,7 @@
   if (!waiting_ || owner_ != aHost) {
     return;
   }
-  if (IsRead() || receivedPieces_ != 0) {
+  if (HasNoEffect() || receivedPieces_ != 0) {
     OnHostLost(aHost);
   } else {
     CheckRequest();
--- a/apps/wigeonlbd/traffic/entryrequest.cpp
+++ b/apps/wigeonlbd/traffic/entryrequest.cpp
@@ -164,18 +164,24 @@
                                           : context_.statementDeadline_;
 }
 
-//! The SQLSTATE for a request whose owner did not answer. Reads, and statements
-//! in a transaction that is lost with its owner, have no lasting effect.
+//! Reads, and statements in a transaction that is lost with its owner, have no
+//! lasting effect.
+bool
+EntrySession::HasNoEffect() const
+{
+  const wire::StatementClass kind = request_.statement_class();
+  return InTransaction() ? kind != wire::STATEMENT_COMMIT
+                         : kind != wire::STATEMENT_WRITE;
+}
+
+//! The SQLSTATE for a request whose owner did not answer.
 std::string_view
 EntrySession::GetOwnerLostSqlstate() const
 {
-  const wire::StatementClass kind = request_.statement_class();
-  const bool hasNoEffect = InTransaction() ? kind != wire::STATEMENT_COMMIT
-                                           : kind != wire::STATEMENT_WRITE;
   // If the caller has received rows, its answer is incomplete: report the
   // outcome as unknown.
-  return hasNoEffect && receivedPieces_ == 0 ? sqlstates::kTransactionLost
-                                             : sqlstates::kOutcomeUnknown;
+  return HasNoEffect() && receivedPieces_ == 0 ? sqlstates::kTransactionLost
+                                               : sqlstates::kOutcomeUnknown;
 }
 
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -142,6 +142,7 @@
   void GiveUpAt(const foundation::HostId& aOwner);
   foundation::Duration GetRemainingTime() const;
   bool IsRead() const;
+  bool HasNoEffect() const;
   std::string_view GetOwnerLostSqlstate() const;
   void Record(const RequestResult& aResult);
   //! Logs a decision about the current request.
