A write sent just before its owner is taken for lost is given the time of a loss

Cause: an idle link's ping to X's former start was still unanswered when the present start, from which nothing had been heard yet, got the request. The time-out of that ping ended it.

One function sets the time-out of a request.

Evidence: the new table of the entry session; on the former code the write ends 08007 at once, whether it is answered or not.

--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -282,6 +282,29 @@
   CHECK(answer.ends_with("I"));
 }
 
+TEST_CASE(
+  "a write sent shortly before its owner is taken for lost is given time",
+  "[entrysession]")
+{
+  const bool answered = GENERATE(true, false);
+  ShardFixture fixture;
+  fixture.Connect();
+  fixture.Query("INSERT INTO t VALUES (1)");
+  const foundation::Instant sentAt = foundation::SteadyNow();
+  const auto [host, request] = fixture.NextRequest();
+  fixture.shard_->OnHostLost("h1");
+  if (answered) {
+    wire::ForwardEnd end = fixture.MakeEnd(request, wire::OUTCOME_DONE);
+    end.set_last_frames(MakeAnswer());
+    fixture.SendEnd(end);
+  }
+  const std::string answer = fixture.ReadUntil(kReady);
+  CHECK((answer.find("SELECT 1") != std::string::npos) == answered);
+  CHECK((answer.find("08007") != std::string::npos) == !answered);
+  const foundation::Duration took = foundation::SteadyNow() - sentAt;
+  CHECK((took >= EntryContext().hostLostAfter_) == !answered);
+}
+
 TEST_CASE("a request in progress when its host stops gets a complete answer",
           "[entrysession]")
 {
--- a/apps/wigeonlbd/traffic/entryloss.cpp
+++ b/apps/wigeonlbd/traffic/entryloss.cpp
@@ -1,6 +1,8 @@
 // Requests of a session whose owner does not answer or was lost.
 #include "traffic/entrysession.h"
 
+#include <algorithm>
+
 #include "caller/sqlstates.h"
 
 namespace wigeonlb::daemon::traffic {
@@ -8,15 +10,25 @@
 namespace sqlstates = caller::sqlstates;
 
 void
-EntrySession::OnDeadline()
+EntrySession::SetTimeout(foundation::Instant aAt, const std::string& aReason)
 {
-  if (!waiting_) {
-    return;
+  deadlineTimer_.expires_after(aAt - foundation::SteadyNow());
+  deadlineTimer_.async_wait(
+    [caller = caller_, this, aReason](const boost::system::error_code& aError) {
+      if (!aError && !caller->Closed()) {
+        OnTimeout(aReason);
+      }
+    });
+}
+
+//! The owner has not reported an outcome: the owner or the link to it has
+//! failed.
+void
+EntrySession::OnTimeout(const std::string& aReason)
+{
+  if (waiting_) {
+    GiveUpRequest("outcome unknown: host " + owner_ + ": " + aReason);
   }
-  // The owner has not reported an outcome: the owner or the link to it has
-  // failed.
-  GiveUpRequest("outcome unknown: no answer from host " + owner_ +
-                " within the deadline");
 }
 
 void
@@ -66,6 +78,13 @@
     DispatchRequest();
     return;
   }
+  // The silence may be that of the host's former start, while its present one
+  // has just received the request.
+  const foundation::Instant lostAt = sentAt_ + context_.hostLostAfter_;
+  if (receivedPieces_ == 0 && lostAt > foundation::SteadyNow()) {
+    SetTimeout(std::min(lostAt, deadlineAt_), "lost");
+    return;
+  }
   GiveUpRequest("outcome unknown: host " + aHost + " was lost");
 }
 
@@ -109,7 +128,7 @@
 {
   if (waiting_ && aChecked.request() == request_.request() &&
       !aChecked.known()) {
-    OnHostLost(owner_);
+    GiveUpRequest("outcome unknown: host " + owner_ + " was lost");
   }
 }
 
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -171,13 +171,7 @@
   nextOwner_ = 0;
   refusal_.clear();
   owner_.clear();
-  deadlineTimer_.expires_after(deadlineAt_ - startedAt_ + kAnswerGraceMs);
-  deadlineTimer_.async_wait(
-    [caller = caller_, this](const boost::system::error_code& aError) {
-      if (!aError && !caller->Closed()) {
-        OnDeadline();
-      }
-    });
+  SetTimeout(deadlineAt_ + kAnswerGraceMs, "no answer within the deadline");
   DispatchRequest();
 }
 
@@ -224,6 +218,7 @@
   if (std::ranges::find(usedOwners_, at) == usedOwners_.end()) {
     usedOwners_.push_back(at);
   }
+  sentAt_ = SteadyNow();
   // Each attempt has its own number, so that late answers to earlier attempts
   // are recognised.
   request_.set_request(request_.request() + 1);
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -11,6 +11,7 @@
 #include "core/classification/classificationcache.h"
 #include "forward.pb.h"
 #include "foundation/clock.h"
+#include "peer/peerlinks.h"
 #include "traffic/closenotifier.h"
 #include "traffic/forwardport.h"
 #include "traffic/requestlog.h"
@@ -27,6 +28,8 @@
   std::uint64_t boot_ = 0;
   foundation::DataCentre dataCentre_;
   foundation::Duration statementDeadline_{ 0 };
+  //! A host that has not responded for this long is lost.
+  foundation::Duration hostLostAfter_ = peer::kLostAfterMs;
   ForwardPort* port_ = nullptr;
   CloseNotifier* closes_ = nullptr;
   const caller::Protocol* protocol_ = &caller::PostgresqlProtocol();
@@ -125,7 +128,7 @@
   foundation::Duration GetStatementTimeout(const GroupRoute& aRoute) const;
   void DispatchRequest();
   bool TryOwner(const foundation::HostId& aOwner);
-  void OnDeadline();
+  void OnTimeout(const std::string& aReason);
   //! Ends the request in progress, also at its owner, without its outcome.
   void GiveUpRequest(const std::string& aReason);
   void AbandonRequest(const LocalError& aLocalError);
@@ -133,6 +136,8 @@
   void FailLocally(const LocalError& aLocalError);
   void FinishAnswer(char aStatus, std::uint64_t aOwnerBoot = 0);
   void AnswerOutcome(const wire::ForwardEnd& aEnd, std::uint64_t aOwnerBoot);
+  //! Ends the request in progress at this time if it is not answered by then.
+  void SetTimeout(foundation::Instant aAt, const std::string& aReason);
   //! Asks the owner whether it knows the request in progress.
   void CheckRequest();
   void RaiseSessionFloor(const wire::LogPosition& aPosition);
@@ -167,6 +172,7 @@
   std::size_t nextOwner_ = 0;
   std::string refusal_; //!< message of the last owner that refused, if any
   foundation::Instant startedAt_;
+  foundation::Instant sentAt_; //!< the last attempt
   foundation::Instant deadlineAt_;
   std::uint64_t receivedPieces_ = 0;
   std::uint64_t receivedBytes_ = 0;
