Test of a connection that is dropped when the host stops to accept (fails)

Read and seen by review, not mended here. Accept() takes the next queued connection at once and posts its handler; when StopAccepting's handler lies before it in the queue, OnAccepted finds the listening socket closed and drops the accepted connection with its unread request: the caller sees a reset.

--- a/packages/caller/tests/sessionend_tests.cpp
+++ b/packages/caller/tests/sessionend_tests.cpp
@@ -122,4 +122,23 @@
   }
 }
 
+TEST_CASE("a connection that was accepted just before the host stops to accept "
+          "is served",
+          "[callerserver]")
+{
+  const std::size_t accepted = GENERATE(0, 1, 2); // when the host stops
+  constexpr std::size_t kCallers = 4;
+  Fixture fixture;
+  std::vector<tcp::socket> clients;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    clients.push_back(fixture.Connect(kStartup + Query("a")));
+  }
+  fixture.RunUntil([&] { return fixture.server_.SessionCount() == accepted; });
+  fixture.server_.StopAccepting();
+  fixture.server_.CloseIdle();
+  for (tcp::socket& client : clients) {
+    CHECK(ReadRest(fixture, client).starts_with(kAccepted + kReady));
+  }
+}
+
 } // namespace wigeonlb::caller
