Test of a transaction that is begun after EndTransactions (fails)

Found by review, not mended here. EndTransactions ends the sessions that are open at that moment. A connection that is accepted after it (from the listening socket's queue, or from a balancer that still sends) may begin a transaction, which nothing ends before the drain deadline, where the process exits without an answer.

Passes for the one whose transaction was open.

--- a/packages/caller/tests/sessionend_tests.cpp
+++ b/packages/caller/tests/sessionend_tests.cpp
@@ -141,4 +141,42 @@
   }
 }
 
+TEST_CASE("a transaction that a late caller begins after the open ones were "
+          "ended does not outlast them",
+          "[callersession]")
+{
+  const bool isLate = GENERATE(false, true);
+  Fixture fixture;
+  fixture.recorder_.answer_ = [](CallerSession& aSession) {
+    aSession.FinishQuery(TransactionStatus::InTransaction);
+  };
+  std::optional<tcp::socket> client;
+  if (!isLate) {
+    client = fixture.Connect(kStartup + Query("begin"));
+    fixture.RunUntil([&] { return fixture.HasEvent("query begin"); });
+  }
+  fixture.server_.CloseIdle();
+  fixture.server_.EndTransactions();
+  if (isLate) {
+    client = fixture.Connect(kStartup + Query("begin"));
+  }
+  fixture.server_.StopAccepting();
+  // Longer than the times for a first query and for a refused caller.
+  const auto until = foundation::SteadyNow() + std::chrono::milliseconds(3000);
+  const std::string begun = kAccepted + Message('Z', "T");
+  std::string read;
+  client->non_blocking(true);
+  fixture.RunUntil([&] {
+    std::array<char, 4096> chunk{};
+    boost::system::error_code error;
+    read.append(chunk.data(),
+                client->read_some(boost::asio::buffer(chunk), error));
+    return error == boost::asio::error::eof ||
+           foundation::SteadyNow() >= until;
+  });
+  client->close();
+  CHECK(read.starts_with(begun));
+  CHECK(read.size() > begun.size()); // the error
+}
+
 } // namespace wigeonlb::caller
