Test of a pipelined query that is read into the chunk but not handled (fails)

Found by review, not mended here. HasUnansweredInput looks at the decoder and at the socket; a read that has completed and whose handler is queued is in neither. A PostgreSQL caller's query is then dropped; on the line protocol it is answered as not run.

Fails at when the first query fills the chunk, so that the second is read by the next async_read_some at once; passes for a short one.

--- a/packages/caller/tests/sessionend_tests.cpp
+++ b/packages/caller/tests/sessionend_tests.cpp
@@ -1,5 +1,7 @@
 #include "caller/tests/sessionfixture.h"
 
+#include <boost/asio/post.hpp>
+
 namespace wigeonlb::caller {
 
 using namespace std::string_literals;
@@ -179,4 +181,32 @@
   CHECK(read.size() > begun.size()); // the error
 }
 
+TEST_CASE("a query that was read but not handled yet is answered before its "
+          "session is closed",
+          "[callersession]")
+{
+  const bool fillsChunk = GENERATE(false, true);
+  constexpr std::size_t kChunkBytes = 8192;
+  const std::size_t padding = fillsChunk ? kChunkBytes - 6 : 10;
+  const auto length = static_cast<std::uint32_t>(padding + 5);
+  std::string first = "Q\0\0"s;
+  first += static_cast<char>(length >> 8U);
+  first += static_cast<char>(length & 0xffU);
+  first += std::string(padding, 'x') + '\0';
+  Fixture fixture;
+  fixture.recorder_.answer_ = [&](CallerSession& aSession) {
+    // The answer of the first query is on its way when the second is read.
+    boost::asio::post(fixture.context_, [session = &aSession] {
+      session->RefuseWhenIdle({ .sqlstate_ = "57P01", .message_ = "stops" });
+      session->FinishQuery(TransactionStatus::Idle);
+    });
+  };
+  tcp::socket client = fixture.Connect(kStartup);
+  fixture.ReadUntil(client, kReady);
+  boost::asio::write(client, boost::asio::buffer(first + Query("b")));
+  const std::string read = ReadRest(fixture, client);
+  CHECK(read.starts_with(kReady + kReady + "E"));
+  CHECK(fixture.HasEvent("query b"));
+}
+
 } // namespace wigeonlb::caller
