Test of requests that have arrived when the HTTP server stops (fails)

Found by review, not mended here. The same class as the callers' idle sessions: HttpConnection::Stop closes a connection whose request lies unread in the socket, and those in the listening socket's queue are reset. (The daemon doesn't call Stop before the control thread ends; there a running answer is cut, too.)

--- a/packages/http/tests/httpserver_tests.cpp
+++ b/packages/http/tests/httpserver_tests.cpp
@@ -173,6 +173,34 @@
   CHECK(CountOccurrences(answer, "late") == 1);
 }
 
+TEST_CASE("Stop answers the requests that have arrived", "[httpserver]")
+{
+  const std::string request = "PUT /config HTTP/1.1\r\nContent-Length: 2\r\n"
+                              "\r\nok";
+  const bool isAccepted = GENERATE(true, false); // when the server stops
+  boost::asio::io_context context;
+  HttpServer server(
+    context, "127.0.0.1", 0, [](const HttpRequest& aRequest, auto aRespond) {
+      aRespond({ .body_ = aRequest.body_ });
+    });
+  REQUIRE_FALSE(server.Start());
+  context.poll();
+  boost::asio::io_context clientContext;
+  tcp::socket client(clientContext);
+  client.connect({ boost::asio::ip::make_address("127.0.0.1"), server.Port() });
+  if (isAccepted) {
+    context.run_for(std::chrono::milliseconds(50));
+  }
+  boost::asio::write(client, boost::asio::buffer(request));
+  server.Stop();
+  context.restart();
+  context.run_for(std::chrono::milliseconds(500));
+  std::string answer;
+  boost::system::error_code error;
+  boost::asio::read(client, boost::asio::dynamic_buffer(answer), error);
+  CHECK(answer.starts_with("HTTP/1.1 200 "));
+}
+
 TEST_CASE("the client reports whether the server may have received a request",
           "[httpclient]")
 {
