A link remembers all former starts of its peer

What callers would see: requests of a host's present start ended, when a message of its start before last arrives late.

Cause: the link kept one former boot; a message of an older one was taken for a new start.

The test follows the restart's own event: neither a loss nor a restart is reported.

--- a/packages/peer/internal/link.h
+++ b/packages/peer/internal/link.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <deque>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -73,12 +74,13 @@
   foundation::Instant lastHeard_{};  //!< when the peer last sent a message
   foundation::Instant lastUsed_{};   //!< by messages other than pings
   foundation::Instant lastPinged_{}; //!< when the peer last sent a ping
-  std::uint64_t boot_ = 0;       //!< latest boot number of the peer; 0: unknown
-  std::uint64_t formerBoot_ = 0; //!< previous boot, to ignore its late messages
-  std::size_t inFlight_ = 0;     //!< statements whose result is not complete
-  bool lost_ = false;            //!< the loss was reported; no response since
-  bool dropped_ = false;         //!< the host was removed by SetPeers
-  bool flushing_ = false;        //!< is in LinkThread::pendingLinks_
+  std::uint64_t boot_ = 0; //!< latest boot number of the peer; 0: unknown
+  //! Former boots, to ignore their late messages.
+  std::set<std::uint64_t> formerBoots_;
+  std::size_t inFlight_ = 0; //!< statements whose result is not complete
+  bool lost_ = false;        //!< the loss was reported; no response since
+  bool dropped_ = false;     //!< the host was removed by SetPeers
+  bool flushing_ = false;    //!< is in LinkThread::pendingLinks_
   //! The socket's queue was full at the last message.
   bool blocked_ = false;
 };
--- a/packages/peer/internal/linkthreadreceive.cpp
+++ b/packages/peer/internal/linkthreadreceive.cpp
@@ -100,11 +100,15 @@
 void
 LinkThread::CheckBoot(Link& aLink, std::uint64_t aBoot)
 {
-  if (aBoot == aLink.boot_ || aBoot == aLink.formerBoot_) {
+  if (aBoot == aLink.boot_ || aLink.formerBoots_.contains(aBoot)) {
     return;
   }
-  aLink.formerBoot_ = std::exchange(aLink.boot_, aBoot);
-  if (aLink.formerBoot_ == 0 || !aLink.dealer_) {
+  const std::uint64_t former = std::exchange(aLink.boot_, aBoot);
+  if (former == 0) {
+    return;
+  }
+  aLink.formerBoots_.insert(former);
+  if (!aLink.dealer_) {
     return;
   }
   aLink.pings_ = {}; // the former start does not answer them
--- a/packages/peer/tests/peerlinks_tests.cpp
+++ b/packages/peer/tests/peerlinks_tests.cpp
@@ -142,8 +142,9 @@
   CHECK(right->WaitMessages(kCount));
 }
 
-TEST_CASE("a late message of a peer's former start is no loss of the present one",
-          "[peerlinks]")
+TEST_CASE(
+  "a late message of a peer's former start is no loss of the present one",
+  "[peerlinks]")
 {
   const std::uint64_t starts = GENERATE(2, 3); // the first sends late
   PeerLinksSettings settings;
@@ -167,13 +168,14 @@
     REQUIRE_FALSE(right->links_->CheckReachability("left"));
     REQUIRE(right->WaitReachable("left", true));
     REQUIRE(left.WaitUntil(
-      [&] { return left.lost_.contains("right") == (boot > 1); }));
+      [&] { return left.restarted_.contains("right") == (boot > 1); }));
     REQUIRE(left.WaitReachable("right", true));
-    left.Update([&] { left.lost_.clear(); });
+    left.Update([&] { left.restarted_.clear(); });
   }
   REQUIRE_FALSE(late.links_->Send("left", Frames(1)));
   REQUIRE(left.WaitMessages(1));
   left.Update([&] { CHECK(left.lost_.empty()); });
+  left.Update([&] { CHECK(left.restarted_.empty()); });
 }
 
 TEST_CASE("sending on an idle link detects a lost peer", "[peerlinks]")
