Ends of sessions: late accepts, late transactions, read but unhandled queries

- a connection that was accepted, but whose handler ran after the listening socket was closed, was dropped with its request: it is served;
- a transaction that was begun after EndTransactions was ended by nothing before the drain deadline: sessions that are added later are told as well;
- a query that was read but whose handler was still queued did not count as unanswered: the decision to end a session is taken behind that handler;
- Refuse during a query left the response without READY on the platform's protocol: READY follows.

--- a/packages/caller/callerserver.cpp
+++ b/packages/caller/callerserver.cpp
@@ -96,6 +96,9 @@
     if (closing_) {
       session->RefuseWhenIdle(ShuttingDownError());
     }
+    if (endsTransactions_) {
+      session->RefuseInTransaction(TransactionRolledBackError());
+    }
   }
 
   void CloseIdle()
@@ -111,7 +114,9 @@
 
   void EndTransactions()
   {
-    EndSessions(&CallerSession::RefuseAfterQuery, TransactionRolledBackError());
+    endsTransactions_ = true;
+    EndSessions(&CallerSession::RefuseInTransaction,
+                TransactionRolledBackError());
   }
 
   void CloseAll()
@@ -168,6 +173,7 @@
   CallerWorker worker_;
   Sessions sessions_;
   bool closing_ = false;
+  bool endsTransactions_ = false;
 };
 
 CallerServer::CallerServer(std::span<const CallerWorker> aWorkers,
@@ -236,6 +242,9 @@
                          Shard& aShard,
                          CallerSession::Socket aSocket)
 {
+  if (!aError) {
+    AddSession(aShard, std::move(aSocket)); // also when accepting has stopped
+  }
   if (!acceptor_.is_open()) {
     return;
   }
@@ -248,7 +257,6 @@
     });
     return;
   }
-  AddSession(aShard, std::move(aSocket));
   Accept();
 }
 
@@ -292,7 +300,9 @@
     error_code ignored;
     acceptor_.close(ignored);
     retryTimer_.cancel();
-    accepting_ = false;
+    // A connection that was accepted before is added first.
+    boost::asio::post(shards_.front()->Context(),
+                      [this] { accepting_ = false; });
   });
 }
 
--- a/packages/caller/callerserver.h
+++ b/packages/caller/callerserver.h
@@ -68,8 +68,9 @@
   //! are still accepted. Thread-safe.
   void DisconnectWhenIdle();
 
-  //! Closes every session that is open now as soon as it has no query in
-  //! progress, and rolls back its open transaction. Thread-safe.
+  //! Closes every session with an open transaction as soon as it has no query
+  //! in progress, and rolls back the transaction. Transactions that are begun
+  //! later are ended too. Thread-safe.
   void EndTransactions();
 
   //! Closes every session immediately. Thread-safe.
--- a/packages/caller/callersession.cpp
+++ b/packages/caller/callersession.cpp
@@ -205,8 +205,8 @@
   while (HandleNext()) {
   }
   handlingInput_ = false;
-  EndIfIdle();
   Read();
+  EndIfIdle();
 }
 
 bool
@@ -273,6 +273,7 @@
   }
   state_ = State::Query;
   awaitsFirstQuery_ = false;
+  awaitsRest_ = false;
   queryId_ = aInput.id_;
   observer_.OnQuery(*this, aInput.text_);
 }
--- a/packages/caller/callersession.h
+++ b/packages/caller/callersession.h
@@ -116,9 +116,9 @@
   //! When called several times, the first error is sent.
   void RefuseWhenIdle(ErrorFields aError);
 
-  //! Like RefuseWhenIdle, but does not wait for the end of an open transaction,
-  //! which is rolled back.
-  void RefuseAfterQuery(ErrorFields aError);
+  //! Ends the session as soon as it has an open transaction, which is rolled
+  //! back, and no unanswered query.
+  void RefuseInTransaction(ErrorFields aError);
 
   //! Makes the session refuse the startup packet with this error instead of
   //! calling OnStartup. Cancel requests are still served. Call it before Start.
@@ -191,11 +191,13 @@
   void Write();
   void OnWritten(const boost::system::error_code& aError, std::size_t aBytes);
   void OnTimeout();
+  void OnReadyTimeout();
   void AwaitFirstQuery();
   //! The error that ends the session now; null if it continues.
   const ErrorFields* GetDueRefusal() const;
-  bool HasUnansweredInput();
+  bool HasUnreadInput();
   void EndIfIdle();
+  void EndNow();
   void Disconnect(const ErrorFields& aError);
   void AnswerNotRun();
   void BeginClosing();
@@ -220,8 +222,11 @@
   //! The session was opened while it was to be refused when idle, and has not
   //! sent a query yet.
   bool awaitsFirstQuery_ = false;
+  //! A part of a query has arrived, and the session ends without the rest.
+  bool awaitsRest_ = false;
+  bool endPosted_ = false;
   std::optional<ErrorFields> idleRefusal_;
-  std::optional<ErrorFields> afterQueryRefusal_;
+  std::optional<ErrorFields> transactionRefusal_;
   std::optional<ErrorFields> startupRefusal_;
   std::optional<ErrorFields> disconnectError_; //!< sent to the caller
   foundation::Instant lastReadAt_{};
--- a/packages/caller/callersessionend.cpp
+++ b/packages/caller/callersessionend.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "foundation/logging.h"
 
 namespace wigeonlb::caller {
@@ -33,6 +35,9 @@
   aError.severity_ = "FATAL";
   std::string frames;
   options_.protocol_->appendFatal_(frames, aError);
+  if (state_ == State::Query && options_.protocol_->appendDisconnect_) {
+    options_.protocol_->appendReady_(frames, TransactionStatus::Idle);
+  }
   Send(std::move(frames));
   BeginClosing();
 }
@@ -50,9 +55,9 @@
 }
 
 void
-CallerSession::RefuseAfterQuery(ErrorFields aError)
+CallerSession::RefuseInTransaction(ErrorFields aError)
 {
-  afterQueryRefusal_ = std::move(aError);
+  transactionRefusal_ = std::move(aError);
   EndIfIdle();
 }
 
@@ -78,25 +83,44 @@
   if (state_ != State::Ready) {
     return nullptr;
   }
-  if (idleRefusal_ && status_ == TransactionStatus::Idle) {
-    return awaitsFirstQuery_ ? nullptr : &*idleRefusal_;
-  }
-  return afterQueryRefusal_ ? &*afterQueryRefusal_ : nullptr;
+  const auto& refusal =
+    status_ == TransactionStatus::Idle ? idleRefusal_ : transactionRefusal_;
+  return refusal && !awaitsFirstQuery_ ? &*refusal : nullptr;
 }
 
-//! Whether a query, or a part of one, has arrived and is not answered yet.
 bool
-CallerSession::HasUnansweredInput()
+CallerSession::HasUnreadInput()
 {
   error_code error;
-  return decoder_->PendingBytes() > 0 || socket_.available(error) > 0;
+  return socket_.available(error) > 0;
 }
 
 void
 CallerSession::EndIfIdle()
+{
+  if (GetDueRefusal() == nullptr || handlingInput_) {
+    return;
+  }
+  if (decoder_->PendingBytes() > 0) {
+    if (!std::exchange(awaitsRest_, true)) {
+      StartTimer(kFirstQueryTimeoutMs);
+    }
+    return;
+  }
+  // Input that was read before may wait in the queue of handlers.
+  if (!std::exchange(endPosted_, true)) {
+    boost::asio::post(context_, [self = Pointer(this)] {
+      self->endPosted_ = false;
+      self->EndNow();
+    });
+  }
+}
+
+void
+CallerSession::EndNow()
 {
   const ErrorFields* const error = GetDueRefusal();
-  if (error != nullptr && !handlingInput_ && !HasUnansweredInput()) {
+  if (error != nullptr && decoder_->PendingBytes() == 0 && !HasUnreadInput()) {
     Disconnect(*error);
   }
 }
@@ -131,23 +155,36 @@
 void
 CallerSession::OnTimeout()
 {
-  if (state_ == State::Ready && awaitsFirstQuery_) {
-    awaitsFirstQuery_ = false;
-    EndIfIdle();
-    return;
-  }
-  const bool opening = state_ == State::Opening;
-  if (!opening && state_ != State::Disconnecting && state_ != State::Closing) {
-    return;
-  }
-  if (state_ != State::Closing && idleRefusal_ && HasUnansweredInput()) {
+  const bool ends = idleRefusal_ || transactionRefusal_;
+  if (state_ != State::Closing && ends && HasUnreadInput()) {
     StartTimer(kFirstQueryTimeoutMs); // is read first
     return;
   }
-  if (state_ == State::Disconnecting) {
-    BeginClosing();
+  switch (state_) {
+    case State::Opening:
+    case State::Closing:
+      Close();
+      return;
+    case State::Ready:
+      OnReadyTimeout();
+      return;
+    case State::Disconnecting:
+      BeginClosing();
+      return;
+    default:
+      return;
+  }
+}
+
+void
+CallerSession::OnReadyTimeout()
+{
+  awaitsFirstQuery_ = false;
+  const ErrorFields* const error = GetDueRefusal();
+  if (error != nullptr && awaitsRest_) {
+    Disconnect(*error);
   } else {
-    Close();
+    EndIfIdle();
   }
 }
 
--- a/packages/caller/protocol.h
+++ b/packages/caller/protocol.h
@@ -85,7 +85,7 @@
   //! Tells a caller without a request in progress to disconnect. A caller whose
   //! request crosses it takes it for that request's response: the request must
   //! not be run, and appendReady_ completes the response. Null: appendFatal_ is
-  //! sent instead and the connection is closed.
+  //! sent instead and the connection is closed; it completes a response.
   void (*appendDisconnect_)(std::string& aFrames, const ErrorFields& aError);
   void (*appendParameter_)(std::string& aFrames,
                            std::string_view aName,
