What a control member reads at its start is on the disk

What users would see: after all processes were killed and the power was lost later, an acknowledged change could be gone, or a member vote twice in a term.

Cause: a process that is killed between a write and its sync leaves the write in the system's memory. Its next start read entries, term and vote from there and acted on them without another write, as they were stored; a loss of power then took them. The same held for the rename of the host memory.

Change: the log's last segment is synced before its records are used, and the folder before the memory is read. A sync of the folder that fails doesn't keep the host from starting, as a memory that can't be saved doesn't stop it either.

--- a/packages/storage/appendlog.cpp
+++ b/packages/storage/appendlog.cpp
@@ -202,7 +202,12 @@
       return error;
     }
   }
-  return OpenSegment(aLog, aLog.segments_.back());
+  if (const std::error_code error = OpenSegment(aLog, aLog.segments_.back())) {
+    return error;
+  }
+  // The process may have ended between a write and its sync. What was read is
+  // acted on without another write, so it must be on the disk first.
+  return aFolder.files_->Sync(aLog.file_);
 }
 
 std::error_code
--- a/packages/storage/memberstore.cpp
+++ b/packages/storage/memberstore.cpp
@@ -261,6 +261,9 @@
 std::error_code
 LoadHostMemory(const DataFolder& aFolder, wire::HostMemory& aMemory)
 {
+  // The process may have ended between the rename and its sync. An error is no
+  // reason to stop: the host also goes on when it can't save its memory.
+  (void)aFolder.files_->SyncFolder(aFolder.path_);
   std::string content;
   if (const std::error_code error =
         ReadAtomicFile(aFolder, kMemoryName, content)) {
--- a/packages/storage/tests/powerloss_tests.cpp
+++ b/packages/storage/tests/powerloss_tests.cpp
@@ -344,4 +344,57 @@
   CHECK(failed == 0);
 }
 
+TEST_CASE("what is read at a start is on the disk", "[storage]")
+{
+  // The process is killed between the write and its sync. What its next start
+  // reads may be acknowledged without another write.
+  const auto calls = GENERATE(range(1, 30));
+  const auto seed = GENERATE(range(1, 21));
+  const bool snapshots = GENERATE(false, true);
+  Fixture fixture;
+  REQUIRE_FALSE(Open(fixture));
+  const wire::ConsensusEntry first[] = { MakeEntry(1, 10) };
+  REQUIRE_FALSE(Save(fixture.store_, MakeHardState(1), 0, first));
+  fixture.files_.callsLeft_ = calls;
+  const wire::ConsensusEntry second[] = { MakeEntry(2, 10) };
+  wire::MemberSnapshot snapshot;
+  snapshot.set_last_index(1);
+  if (!Save(fixture.store_, MakeHardState(2), 0, second) && snapshots) {
+    (void)SaveSnapshot(fixture.store_, snapshot, second);
+  }
+  fixture.files_.callsLeft_.reset();
+  REQUIRE_FALSE(Open(fixture));
+  const MemberImage read = fixture.image_;
+  std::mt19937 random(seed);
+  fixture.files_.Crash(random);
+  REQUIRE_FALSE(Open(fixture));
+  const auto last = [](const MemberImage& aImage) {
+    return aImage.snapshot_.last_index() + aImage.entries_.size();
+  };
+  CHECK(last(fixture.image_) >= last(read));
+  CHECK(fixture.image_.hardState_->term() >= read.hardState_->term());
+}
+
+TEST_CASE("a host memory that is read at a start is on the disk", "[storage]")
+{
+  const auto calls = GENERATE(range(1, 8));
+  const auto seed = GENERATE(range(1, 21));
+  Fixture fixture;
+  REQUIRE_FALSE(OpenDataFolder(fixture.files_, kPath, "a", fixture.folder_));
+  wire::HostMemory memory;
+  memory.set_highest_revision(1);
+  REQUIRE_FALSE(SaveHostMemory(fixture.folder_, memory));
+  fixture.files_.callsLeft_ = calls;
+  memory.set_highest_revision(2);
+  (void)SaveHostMemory(fixture.folder_, memory);
+  fixture.files_.callsLeft_.reset();
+  REQUIRE_FALSE(OpenDataFolder(fixture.files_, kPath, "a", fixture.folder_));
+  wire::HostMemory read;
+  REQUIRE_FALSE(LoadHostMemory(fixture.folder_, read));
+  std::mt19937 random(seed);
+  fixture.files_.Crash(random);
+  REQUIRE_FALSE(LoadHostMemory(fixture.folder_, memory));
+  CHECK(memory.highest_revision() == read.highest_revision());
+}
+
 } // namespace wigeonlb::storage
