A member starts from the newest segment that restates the log

Cause: only the last segment might end torn, and each had to follow the one before. After a failed sync all that was read goes to a new segment, while the former one still ends with unsynced records: these may be torn or gone, and the new one is named after them. Removed segments whose folder was not synced may be back, and then just some of them.

Change: a record says whether it ends its write and whether that write restates the log. Last segments whose first write is torn are removed; reading begins at the newest segment that restates the log. A damaged first write is still damage.

--- a/packages/storage/appendlog.cpp
+++ b/packages/storage/appendlog.cpp
@@ -125,16 +125,19 @@
 }
 
 std::error_code
-WriteRecords(AppendLog& aLog, std::span<const std::string> aRecords)
+WriteRecords(AppendLog& aLog,
+             std::span<const std::string> aRecords,
+             bool aRestates)
 {
   std::string bytes;
+  internal::RecordLabel label;
+  label.writeFirst_ = aLog.nextSequence_;
+  label.restates_ = aRestates;
   std::uint64_t sequence = aLog.nextSequence_;
   for (const std::string& record : aRecords) {
-    internal::AppendRecord(bytes,
-                           aLog.segmentSize_,
-                           { sequence, aLog.nextSequence_, false },
-                           record);
-    ++sequence;
+    label.sequence_ = sequence++;
+    label.writeLast_ = sequence - aLog.nextSequence_ == aRecords.size();
+    internal::AppendRecord(bytes, aLog.segmentSize_, label, record);
   }
   FileSystem& files = *aLog.folder_->files_;
   if (const std::error_code error = files.Write(aLog.file_, bytes)) {
@@ -148,6 +151,92 @@
   return {};
 }
 
+bool
+ParseSegmentName(const std::string& aName, std::uint64_t& aSequence)
+{
+  return std::sscanf(aName.c_str(), "log-%" SCNu64, &aSequence) == 1;
+}
+
+struct FirstWrite
+{
+  bool torn_ = false;
+  bool restates_ = false;
+};
+
+//! Reads how a segment begins. A damaged first write doesn't count as torn.
+std::error_code
+ReadFirstWrite(const AppendLog& aLog,
+               const std::string& aName,
+               FirstWrite& aWrite)
+{
+  std::string bytes;
+  if (const std::error_code error =
+        aLog.folder_->files_->Read(MakePath(aLog, aName), bytes)) {
+    return error;
+  }
+  std::uint64_t sequence = 0;
+  std::size_t offset = 0;
+  aWrite.torn_ = ParseSegmentName(aName, sequence);
+  while (aWrite.torn_ && offset < bytes.size()) {
+    const std::string_view rest = std::string_view(bytes).substr(offset);
+    const auto record = internal::DecodeRecord(rest);
+    if (!record) {
+      aWrite.torn_ = internal::IsTornWrite(bytes, offset) &&
+                     !internal::HasNewerWrite(rest.substr(1), sequence);
+      return {};
+    }
+    aWrite.torn_ = !record->label_.writeLast_;
+    aWrite.restates_ = record->label_.restates_;
+    offset += record->size_;
+    ++sequence;
+  }
+  return {};
+}
+
+//! Removes the last segments whose first write is torn. The segment before them
+//! may end with an unsynced write too: after a failed sync all that was read is
+//! repeated in a new segment.
+std::error_code
+RemoveTornSegments(AppendLog& aLog, Findings& aFindings)
+{
+  while (aLog.segments_.size() > 1) {
+    const std::string& name = aLog.segments_.back();
+    FirstWrite write;
+    if (const std::error_code error = ReadFirstWrite(aLog, name, write)) {
+      return error;
+    }
+    if (!write.torn_) {
+      return {};
+    }
+    const std::string path = MakePath(aLog, name);
+    foundation::AddFinding(
+      aFindings, path, "a segment with an incomplete first write was removed");
+    if (const std::error_code error = aLog.folder_->files_->Remove(path)) {
+      return error;
+    }
+    aLog.segments_.pop_back();
+  }
+  return {};
+}
+
+//! Finds the segment from which on the log is complete. Removed older segments
+//! may be back after a loss of power, also just some of them.
+std::error_code
+FindStart(const AppendLog& aLog, std::size_t& aStart)
+{
+  for (aStart = aLog.segments_.size() - 1; aStart > 0; --aStart) {
+    FirstWrite write;
+    if (const std::error_code error =
+          ReadFirstWrite(aLog, aLog.segments_[aStart], write)) {
+      return error;
+    }
+    if (write.restates_ && !write.torn_) {
+      break;
+    }
+  }
+  return {};
+}
+
 //! Records a failure, after which it is unknown what reached the disk. Returns
 //! aError.
 std::error_code
@@ -180,23 +269,28 @@
   if (aLog.segments_.empty()) {
     return AddSegment(aLog);
   }
-  std::uint64_t first = 0;
-  if (std::sscanf(aLog.segments_.front().c_str(), "log-%" SCNu64, &first) !=
-      1) {
+  if (const std::error_code error = RemoveTornSegments(aLog, aFindings)) {
+    return error;
+  }
+  std::size_t start = 0;
+  if (const std::error_code error = FindStart(aLog, start)) {
+    return error;
+  }
+  if (!ParseSegmentName(aLog.segments_[start], aLog.nextSequence_)) {
     foundation::AddFinding(aFindings,
-                           MakePath(aLog, aLog.segments_.front()),
+                           MakePath(aLog, aLog.segments_[start]),
                            "the file name is not a valid segment name");
     return StorageError::CorruptLog;
   }
-  aLog.nextSequence_ = first;
-  for (const std::string& name : aLog.segments_) {
+  for (std::size_t i = start; i < aLog.segments_.size(); ++i) {
+    const std::string& name = aLog.segments_[i];
     if (name != MakeSegmentName(aLog.nextSequence_)) {
       foundation::AddFinding(aFindings,
                              MakePath(aLog, name),
                              "records before this segment are missing");
       return StorageError::MissingRecords;
     }
-    const bool last = name == aLog.segments_.back();
+    const bool last = i + 1 == aLog.segments_.size();
     if (const std::error_code error =
           ReadSegment(aLog, name, last, aRecords, aFindings)) {
       return error;
@@ -221,7 +315,7 @@
       return RecordFailure(aLog, error);
     }
   }
-  return RecordFailure(aLog, WriteRecords(aLog, aRecords));
+  return RecordFailure(aLog, WriteRecords(aLog, aRecords, false));
 }
 
 std::error_code
@@ -236,7 +330,7 @@
       return RecordFailure(aLog, error);
     }
   }
-  if (const std::error_code error = WriteRecords(aLog, aRecords)) {
+  if (const std::error_code error = WriteRecords(aLog, aRecords, true)) {
     return RecordFailure(aLog, error);
   }
   while (aLog.segments_.size() > 1) {
--- a/packages/storage/appendlog.h
+++ b/packages/storage/appendlog.h
@@ -33,10 +33,10 @@
   std::string bytes_;
 };
 
-//! Reads all records and opens the log for appending. An incomplete last record
-//! is truncated and reported as a finding. Any other damaged record is an
-//! error: CorruptLog, with file and offset in a finding; nothing is truncated
-//! then.
+//! Reads all records and opens the log for appending. An incomplete last
+//! record, or last segment, is removed and reported as a finding. Any other
+//! damaged record is an error: CorruptLog, with file and offset in a finding;
+//! nothing is truncated then.
 std::error_code
 OpenLog(DataFolder& aFolder,
         AppendLog& aLog,
@@ -49,8 +49,8 @@
 std::error_code
 AppendRecords(AppendLog& aLog, std::span<const std::string> aRecords);
 
-//! Writes the records into a new segment, syncs it, then removes the older
-//! segments.
+//! Writes the records, which repeat all that is needed of the log, into a new
+//! segment, syncs it, then removes the older segments.
 std::error_code
 StartSegment(AppendLog& aLog, std::span<const std::string> aRecords);
 
--- a/packages/storage/internal/recordcodec.cpp
+++ b/packages/storage/internal/recordcodec.cpp
@@ -25,6 +25,8 @@
 
 //! Layout of the label.
 constexpr std::uint64_t kNewFormat = std::uint64_t{ 1 } << 63U;
+constexpr std::uint64_t kRestates = std::uint64_t{ 1 } << 62U;
+constexpr std::uint64_t kWriteLast = std::uint64_t{ 1 } << 61U;
 constexpr unsigned kSequenceBits = 40;
 constexpr unsigned kDistanceBits = 21;
 constexpr std::uint64_t kMaxSequence =
@@ -37,20 +39,27 @@
 {
   const std::uint64_t distance =
     std::min(aLabel.sequence_ - aLabel.writeFirst_, kMaxDistance);
-  return kNewFormat | distance << kSequenceBits | aLabel.sequence_;
+  return kNewFormat | (aLabel.restates_ ? kRestates : 0) |
+         (aLabel.writeLast_ ? kWriteLast : 0) | distance << kSequenceBits |
+         aLabel.sequence_;
 }
 
 RecordLabel
 ReadLabel(std::string_view aBytes)
 {
   const auto value = ReadNumber<std::uint64_t>(aBytes.substr(kLabelOffset));
+  RecordLabel label;
   if ((value & kNewFormat) == 0) {
-    return { value, value, true };
+    label.sequence_ = label.writeFirst_ = value;
+    label.writeLast_ = label.old_ = true;
+    return label;
   }
-  const std::uint64_t sequence = value & kMaxSequence;
-  return { sequence,
-           sequence - ((value >> kSequenceBits) & kMaxDistance),
-           false };
+  label.sequence_ = value & kMaxSequence;
+  label.writeFirst_ =
+    label.sequence_ - ((value >> kSequenceBits) & kMaxDistance);
+  label.writeLast_ = (value & kWriteLast) != 0;
+  label.restates_ = (value & kRestates) != 0;
+  return label;
 }
 
 std::size_t
--- a/packages/storage/internal/recordcodec.h
+++ b/packages/storage/internal/recordcodec.h
@@ -18,8 +18,11 @@
   std::uint64_t sequence_ = 0;
   //! Sequence number of the first record of the same write.
   std::uint64_t writeFirst_ = 0;
-  //! Written by a version that stored neither writeFirst_ nor an end mark; each
-  //! record then counts as a write of its own.
+  bool writeLast_ = false; //!< the last record of its write
+  //! Its write repeats all that the older segments contain.
+  bool restates_ = false;
+  //! Written by a version that stored just the sequence number and no end mark;
+  //! each record then counts as a write of its own.
   bool old_ = false;
 };
 
--- a/packages/storage/tests/memoryfilesystem.cpp
+++ b/packages/storage/tests/memoryfilesystem.cpp
@@ -58,7 +58,22 @@
 void
 MemoryFileSystem::Crash(std::mt19937& aRandom)
 {
-  files_ = syncedNames_;
+  // Names that were changed after the last sync of the folder are kept or lost
+  // independently.
+  auto names = files_;
+  names.insert(syncedNames_.begin(), syncedNames_.end());
+  for (const auto& [name, file] : names) {
+    const auto synced = syncedNames_.find(name);
+    const auto current = files_.find(name);
+    const bool keepsCurrent = aRandom() % 2 != 0;
+    if (current != files_.end() && synced != syncedNames_.end()) {
+      current->second = keepsCurrent ? current->second : synced->second;
+    } else if (synced == syncedNames_.end() && !keepsCurrent) {
+      files_.erase(current);
+    } else if (current == files_.end() && !keepsCurrent) {
+      files_.insert(*synced);
+    }
+  }
   open_.clear();
   callsLeft_.reset();
   spaceLeft_.reset();
@@ -72,6 +87,7 @@
     }
     file->synced_ = file->bytes_;
   }
+  syncedNames_ = files_;
 }
 
 std::error_code
--- a/packages/storage/tests/memoryfilesystem.h
+++ b/packages/storage/tests/memoryfilesystem.h
@@ -30,8 +30,8 @@
   std::optional<int> callsLeft_;
   bool syncFails_ = false;
 
-  //! Loses power: keeps the synced content of each file and a random part of
-  //! the rest. Directory entries revert to the last sync of the folder.
+  //! Loses power: keeps the synced content of each file, a random part of the
+  //! rest, and any of the names that changed since the folder was synced.
   void Crash(std::mt19937& aRandom);
 
   std::error_code CreateFolder(const std::string& aPath) override;
--- a/packages/storage/tests/powerloss_tests.cpp
+++ b/packages/storage/tests/powerloss_tests.cpp
@@ -397,4 +397,98 @@
   CHECK(memory.highest_revision() == read.highest_revision());
 }
 
+TEST_CASE("power that is lost at any call keeps no member out", "[storage]")
+{
+  // A refused write is followed by a reload, as a member does it, and the power
+  // is lost in that reload or after it.
+  const auto seed = GENERATE(range(1, 2001));
+  std::mt19937 random(seed);
+  Fixture fixture;
+  REQUIRE_FALSE(Open(fixture));
+  std::uint64_t saved = 0;
+  std::uint64_t term = 0;
+  const auto last = [&fixture] {
+    return fixture.image_.snapshot_.last_index() +
+           fixture.image_.entries_.size();
+  };
+  const auto readTerm = [&fixture] {
+    return fixture.image_.hardState_.value_or(MakeHardState(0)).term();
+  };
+  for (int round = 0; round < 8; ++round) {
+    fixture.files_.callsLeft_ = 1 + random() % 30;
+    std::error_code error;
+    std::uint64_t next = last();
+    while (!error) {
+      ++next;
+      const wire::ConsensusEntry entries[] = {
+        MakeEntry(next, random() % 900), MakeEntry(next + 1, random() % 90)
+      };
+      ++next;
+      error = Save(fixture.store_, MakeHardState(next), 0, entries);
+      saved = error ? saved : next;
+      term = error ? term : next;
+    }
+    for (std::uint64_t reloads = random() % 4; reloads > 0; --reloads) {
+      fixture.files_.callsLeft_ = 1 + random() % 16;
+      if (!Reload(fixture.folder_,
+                  fixture.store_,
+                  fixture.image_,
+                  fixture.findings_)) {
+        saved = last();
+        term = readTerm();
+      }
+    }
+    fixture.files_.Crash(random);
+    INFO("seed " << seed << " round " << round);
+    REQUIRE_FALSE(Open(fixture));
+    CHECK(last() >= saved);
+    CHECK(readTerm() >= term);
+    saved = last();
+    term = readTerm();
+  }
+}
+
+TEST_CASE("older segments that are back hide no damage", "[storage]")
+{
+  const bool back = GENERATE(false, true);
+  Fixture fixture;
+  REQUIRE_FALSE(Open(fixture));
+  std::vector<wire::ConsensusEntry> entries;
+  for (std::uint64_t i = 1; i <= kSyncedEntries; ++i) {
+    entries.push_back(MakeEntry(i, 200));
+    const wire::ConsensusEntry one[] = { entries.back() };
+    REQUIRE_FALSE(Save(fixture.store_, MakeHardState(1), 0, one));
+  }
+  const auto old = fixture.files_.files_;
+  wire::MemberSnapshot snapshot;
+  snapshot.set_last_index(1);
+  REQUIRE_FALSE(
+    SaveSnapshot(fixture.store_, snapshot, std::span(entries).subspan(1)));
+  const wire::ConsensusEntry next[] = { MakeEntry(kSyncedEntries + 1, 20) };
+  REQUIRE_FALSE(Save(fixture.store_, MakeHardState(2), 0, next));
+  if (back) {
+    fixture.files_.files_.insert(old.begin(), old.end());
+    fixture.files_.files_[kPath + "/log-00000000000000000000"] =
+      std::make_shared<MemoryFile>();
+  }
+  std::string& bytes = fixture.files_.files_
+                         .at(kPath + "/" + fixture.store_.log_.segments_.back())
+                         ->bytes_;
+  const std::string whole = bytes;
+  std::size_t unreported = 0;
+  for (std::size_t bit = 0; bit < 8 * whole.size(); ++bit) {
+    bytes[bit / 8] = static_cast<char>(whole[bit / 8] ^ (1U << bit % 8));
+    const std::error_code error = Open(fixture);
+    unreported += error == StorageError::CorruptLog ||
+                      (back && error == StorageError::MissingRecords)
+                    ? 0
+                    : 1;
+    bytes[bit / 8] = whole[bit / 8];
+  }
+  CHECK(unreported == 0);
+  REQUIRE_FALSE(Open(fixture));
+  CHECK(fixture.image_.entries_.size() == kSyncedEntries);
+  CHECK(fixture.image_.hardState_->term() == 2);
+}
+
 } // namespace wigeonlb::storage
