A member whose disk refuses its start takes part once it accepts writes

What users would see: a control host that starts while its disk refuses writes for some seconds logs "member-not-started" and takes no part until its process is started again, although nothing is damaged.

Cause: the start took each error of the folder for damage; only a member that was running read its folder again. A start opens and syncs the log, and may truncate it.

Change: an error of the system, unlike damage, starts the member as failed; it reads the folder again once a second, as after a failed write.

--- a/apps/wigeonlbd/control/consensusmember.cpp
+++ b/apps/wigeonlbd/control/consensusmember.cpp
@@ -1,6 +1,7 @@
 #include "control/consensusmember.h"
 
 #include "foundation/logging.h"
+#include "storage/storageerrors.h"
 
 namespace wigeonlb::daemon::control {
 
@@ -28,17 +29,38 @@
                        foundation::Findings& aFindings)
 {
   settings_ = aSettings;
+  const foundation::Instant now = SteadyNow();
   storage::MemberImage image;
-  if (const std::error_code error =
-        storage::Load(folder_, store_, image, aFindings)) {
+  const std::error_code error =
+    storage::Load(folder_, store_, image, aFindings);
+  if (storage::IsDamage(error)) {
     return error;
   }
+  if (error) {
+    StartFailed(error, now);
+    return {};
+  }
   control_ = image.snapshot_.state();
   state_ = consensus::MakeConsensusState(
-    aSettings, image.hardState_, image.snapshot_, image.entries_, SteadyNow());
+    aSettings, image.hardState_, image.snapshot_, image.entries_, now);
   return {};
 }
 
+void
+ConsensusMember::StartFailed(std::error_code aError, foundation::Instant aNow)
+{
+  foundation::LogWarning(
+    "control",
+    "storage-failed",
+    { { "what", "start" }, { "error", aError.message() } });
+  recoverAt_ = aNow + kStorageRetryMs;
+  state_ = consensus::MakeConsensusState(
+    settings_, wire::HardState(), wire::MemberSnapshot(), {}, aNow);
+  // Nobody has heard of another role, so the actions are of no use.
+  std::vector<consensus::Action> actions;
+  consensus::Step(state_, consensus::StorageFailed{}, aNow, actions);
+}
+
 void
 ConsensusMember::RecoverStorage()
 {
--- a/apps/wigeonlbd/control/consensusmember.h
+++ b/apps/wigeonlbd/control/consensusmember.h
@@ -32,7 +32,8 @@
   ConsensusMember(storage::DataFolder& aFolder, MemberCallbacks aCallbacks);
 
   //! Loads the data folder. Returns an error, with findings, if the data is
-  //! damaged; the member must not participate in consensus then.
+  //! damaged; the member must not participate in consensus then. If the disk
+  //! refuses to be read or synced, the member starts as failed and tries again.
   std::error_code Start(const core::consensus::ConsensusSettings& aSettings,
                         foundation::Findings& aFindings);
 
@@ -65,6 +66,9 @@
   //! there was no error.
   bool Check(std::error_code aError, std::string_view aWhat);
 
+  //! Starts the member as failed, so that the folder is read again later.
+  void StartFailed(std::error_code aError, foundation::Instant aNow);
+
   //! Reads the data folder again after a storage error, and starts the member
   //! from what it holds, as after a restart of the process.
   void RecoverStorage();
--- a/apps/wigeonlbd/tests/consensusmember_tests.cpp
+++ b/apps/wigeonlbd/tests/consensusmember_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <thread>
 
+#include "storage/storageerrors.h"
 #include "tests/singlemember.h"
 
 namespace wigeonlb::daemon::control {
@@ -55,4 +56,39 @@
   CHECK(HasGroup(single, "later"));
 }
 
+TEST_CASE("a member whose disk refuses its start leads once it accepts writes",
+          "[consensusmember]")
+{
+  const int calls = GENERATE(1, 2, 3, 4);
+  SingleMember single;
+  REQUIRE(WaitUntilReady(single));
+  CreateGroup(single, "kept");
+  REQUIRE(HasGroup(single, "kept"));
+  const auto term = single.member_->Consensus().hardState_.term();
+
+  single.files_.callsLeft_ = calls;
+  REQUIRE_FALSE(single.Restart());
+  if (calls < 4) {
+    CHECK(single.member_->Consensus().role_ == consensus::Role::Failed);
+  }
+  single.member_->Feed(consensus::Tick{});
+  CHECK_FALSE(single.member_->IsLeading());
+  single.files_.callsLeft_.reset();
+  REQUIRE(WaitUntilReady(single));
+  CHECK(HasGroup(single, "kept"));
+  CHECK(single.member_->Consensus().hardState_.term() > term);
+}
+
+TEST_CASE("a member whose data is damaged stays out", "[consensusmember]")
+{
+  SingleMember single;
+  REQUIRE(WaitUntilReady(single));
+  for (auto& [name, file] : single.files_.files_) {
+    if (name.find("log-") != std::string::npos) {
+      file->bytes_[20] = static_cast<char>(file->bytes_[20] ^ 1);
+    }
+  }
+  CHECK(single.Restart() == storage::StorageError::CorruptLog);
+}
+
 } // namespace wigeonlb::daemon::control
--- a/apps/wigeonlbd/tests/singlemember.cpp
+++ b/apps/wigeonlbd/tests/singlemember.cpp
@@ -18,6 +18,12 @@
 SingleMember::SingleMember()
 {
   REQUIRE_FALSE(storage::OpenDataFolder(files_, "data", "a", folder_));
+  REQUIRE_FALSE(Restart());
+}
+
+std::error_code
+SingleMember::Restart()
+{
   MemberCallbacks callbacks;
   callbacks.send_ = [](const auto&) {};
   callbacks.applied_ = [](auto, const auto&) {};
@@ -31,7 +37,7 @@
   settings.self_ = "a";
   settings.founders_ = { "a" };
   foundation::Findings findings;
-  REQUIRE_FALSE(member_->Start(settings, findings));
+  return member_->Start(settings, findings);
 }
 
 bool
--- a/apps/wigeonlbd/tests/singlemember.h
+++ b/apps/wigeonlbd/tests/singlemember.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include "control/consensusmember.h"
@@ -20,6 +21,9 @@
   std::unique_ptr<ConsensusMember> member_;
 
   SingleMember();
+
+  //! Ends the process and starts it again. Returns the error of the start.
+  std::error_code Restart();
 };
 
 //! Feeds ticks until the member leads and is ready, at most 20 s.
--- a/packages/storage/storageerrors.cpp
+++ b/packages/storage/storageerrors.cpp
@@ -34,4 +34,12 @@
   return { static_cast<int>(aError), kCategory };
 }
 
+bool
+IsDamage(std::error_code aError)
+{
+  return aError.category() ==
+           make_error_code(StorageError::Failed).category() &&
+         aError != StorageError::Failed;
+}
+
 } // namespace wigeonlb::storage
--- a/packages/storage/storageerrors.h
+++ b/packages/storage/storageerrors.h
@@ -20,6 +20,10 @@
 std::error_code
 make_error_code(StorageError aError);
 
+//! Returns false for an error of the disk, which may pass.
+bool
+IsDamage(std::error_code aError);
+
 } // namespace wigeonlb::storage
 
 template<>
