--- a/packages/storage/tests/powerloss_tests.cpp
+++ b/packages/storage/tests/powerloss_tests.cpp
@@ -491,4 +491,42 @@
   CHECK(fixture.image_.hardState_->term() == 2);
 }
 
+TEST_CASE("power that is lost during a first start leaves a usable folder",
+          "[storage]")
+{
+  const auto calls = GENERATE(range(1, 24));
+  const auto seed = GENERATE(range(1, 101));
+  Fixture fixture;
+  fixture.files_.callsLeft_ = calls;
+  wire::HostMemory memory;
+  memory.set_highest_revision(1);
+  const wire::ConsensusEntry entries[] = { MakeEntry(1, 600) };
+  wire::MemberSnapshot snapshot;
+  snapshot.set_last_index(1);
+  bool saved = false;
+  bool remembered = false;
+  bool covered = false;
+  if (!Open(fixture)) {
+    saved = !Save(fixture.store_, MakeHardState(3), 0, entries);
+    remembered = !SaveHostMemory(fixture.folder_, memory);
+    covered = saved && !SaveSnapshot(fixture.store_, snapshot, {});
+  }
+  std::mt19937 random(seed);
+  fixture.files_.Crash(random);
+  REQUIRE_FALSE(Open(fixture));
+  REQUIRE_FALSE(LoadHostMemory(fixture.folder_, memory));
+  const MemberImage& image = fixture.image_;
+  if (saved) {
+    CHECK(image.hardState_.value().term() == 3);
+    CHECK(image.snapshot_.last_index() + image.entries_.size() == 1);
+  }
+  CHECK(memory.highest_revision() <= 1);
+  CHECK((!remembered || memory.highest_revision() == 1));
+  CHECK((!covered || image.snapshot_.last_index() == 1));
+  // It can go on.
+  REQUIRE_FALSE(Save(fixture.store_, MakeHardState(4), 1, entries));
+  REQUIRE_FALSE(Open(fixture));
+  CHECK(image.hardState_.value().term() == 4);
+}
+
 } // namespace wigeonlb::storage
