Open transactions have the first half of the grace period at a stop

Cause: half of the drain deadline was used, which is 500 ms below the grace: a COMMIT in the last 250 ms of the half got ABORTED (review, by reading). Without a grace it stays half of the deadline.

Measured: nothing beyond the existing tests.

--- a/apps/wigeonlbd/settings/daemonsettings.cpp
+++ b/apps/wigeonlbd/settings/daemonsettings.cpp
@@ -186,6 +186,7 @@
     std::chrono::duration<double>(seconds));
   aSettings.drainDeadline_ =
     std::max(grace - kStopMarginMs, foundation::Duration::zero());
+  aSettings.transactionDrain_ = grace / 2;
 }
 
 void
--- a/apps/wigeonlbd/settings/daemonsettings.h
+++ b/apps/wigeonlbd/settings/daemonsettings.h
@@ -56,6 +56,9 @@
   foundation::Duration startupTimeout_{ 0 };
   foundation::Duration statementDeadline_{ 0 };
   foundation::Duration drainDeadline_{ 0 };
+  //! How long a stopping host leaves transactions open: half of the grace
+  //! period. Zero: half of the drain deadline.
+  foundation::Duration transactionDrain_{ 0 };
   //! Time that a balancer needs to notice that the host is not ready; zero: no
   //! balancer.
   foundation::Duration balancerNotice_{ 0 };
--- a/packages/caller/tests/sessionend_tests.cpp
+++ b/packages/caller/tests/sessionend_tests.cpp
@@ -173,8 +173,7 @@
     boost::system::error_code error;
     read.append(chunk.data(),
                 client->read_some(boost::asio::buffer(chunk), error));
-    return error == boost::asio::error::eof ||
-           foundation::SteadyNow() >= until;
+    return error == boost::asio::error::eof || foundation::SteadyNow() >= until;
   });
   client->close();
   CHECK(read.starts_with(begun));
