A stopping host answers the HTTP requests that have arrived

What callers would see: an operator's PUT of a configuration that is in force although its answer was cut, when the host is stopped meanwhile.

Cause: the daemon ended its control thread with whatever it held; the HTTP server's Stop, which nothing called before, closed connections with an unread request and reset those in the listening socket's queue.

Change: at the end of a drain both endpoints accept what is queued, answer what has arrived or is being handled, and only then does the process end, at the latest at the drain deadline.

Of a real process: not tested.

--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -346,7 +346,7 @@
     requestsRefused_ = true;
     traffic_->RefuseRequests();
   }
-  if (IsDrained()) {
+  if (IsDrained() && StopEndpoints()) {
     foundation::LogChange("daemon", "drained", DescribeDrain());
     control_->PostReleaseAll(
       [this] { boost::asio::post(signals_, [this] { signals_.stop(); }); });
@@ -374,15 +374,16 @@
 void
 Daemon::DrainCallers(Duration aWaited)
 {
+  const bool halfOver = aWaited >= GetTransactionDrain();
   // Sessions are kept until the balancer has removed this host from its
   // rotation, as their callers would come back to it.
-  if (!callersDraining_ && control_->IsOutOfRotation(drainStarted_)) {
+  if (!callersDraining_ &&
+      (halfOver || control_->IsOutOfRotation(drainStarted_))) {
     callersDraining_ = true;
     traffic_->CloseIdleCallers();
   }
-  // From half of the drain deadline on, open transactions are ended, which
-  // leaves the other half for requests in progress.
-  const bool halfOver = aWaited >= settings_.drainDeadline_ / 2;
+  // Open transactions are ended in time to leave the rest for requests in
+  // progress.
   if (!transactionsEnded_ && halfOver) {
     transactionsEnded_ = true;
     traffic_->EndTransactions();
@@ -395,6 +396,24 @@
   }
 }
 
+Duration
+Daemon::GetTransactionDrain() const
+{
+  return settings_.transactionDrain_ > Duration::zero()
+           ? settings_.transactionDrain_
+           : settings_.drainDeadline_ / 2;
+}
+
+//! Returns whether the endpoints have answered all requests that have arrived.
+bool
+Daemon::StopEndpoints()
+{
+  announceServer_->Stop();
+  operatorServer_->Stop();
+  return announceServer_->ConnectionCount() == 0 &&
+         operatorServer_->ConnectionCount() == 0;
+}
+
 bool
 Daemon::IsDrained() const
 {
--- a/apps/wigeonlbd/daemon.h
+++ b/apps/wigeonlbd/daemon.h
@@ -51,6 +51,8 @@
   void OnDrainTick();
   void DrainCallers(foundation::Duration aWaited);
   bool IsDrained() const;
+  bool StopEndpoints();
+  foundation::Duration GetTransactionDrain() const;
   std::vector<foundation::LogField> DescribeDrain() const;
   bool StartEndpoint(std::unique_ptr<http::HttpServer>& aServer,
                      const settings::ListenAddress& aAddress,
--- a/packages/http/httpserver.cpp
+++ b/packages/http/httpserver.cpp
@@ -29,6 +29,8 @@
 
   std::error_code Open();
   void Accept();
+  void AcceptQueued();
+  void AddConnection(tcp::socket aSocket);
   void OnAccepted(boost::system::error_code aError, tcp::socket aSocket);
   void Stop();
 
@@ -81,6 +83,9 @@
 HttpServer::Impl::OnAccepted(boost::system::error_code aError,
                              tcp::socket aSocket)
 {
+  if (!aError) {
+    AddConnection(std::move(aSocket)); // also when accepting has stopped
+  }
   if (state_->stopping_) {
     return;
   }
@@ -95,6 +100,12 @@
       });
     return;
   }
+  Accept();
+}
+
+void
+HttpServer::Impl::AddConnection(tcp::socket aSocket)
+{
   std::size_t count = 0;
   {
     const std::lock_guard lock(state_->mutex_);
@@ -105,7 +116,21 @@
       new HttpConnection(std::move(aSocket), state_));
     connection->Start();
   }
-  Accept();
+}
+
+//! Closing the listening socket would reset the connections in its queue.
+void
+HttpServer::Impl::AcceptQueued()
+{
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(asio::make_strand(context_));
+    acceptor_.accept(socket, error);
+    if (!error) {
+      AddConnection(std::move(socket));
+    }
+  }
 }
 
 void
@@ -115,6 +140,7 @@
     return;
   }
   asio::post(strand_, [self = shared_from_this()] {
+    self->AcceptQueued();
     boost::system::error_code ignored;
     self->acceptor_.close(ignored);
     self->retryTimer_.cancel();
@@ -158,6 +184,12 @@
   impl_->Stop();
 }
 
+std::size_t
+HttpServer::ConnectionCount() const
+{
+  return impl_->state_->connectionCount_;
+}
+
 std::uint16_t
 HttpServer::Port() const
 {
--- a/packages/http/httpserver.h
+++ b/packages/http/httpserver.h
@@ -45,10 +45,14 @@
   //! of bind and listen.
   std::error_code Start();
 
-  //! Stops accepting connections and closes idle ones. Requests that are being
-  //! handled still receive their response.
+  //! Stops accepting connections and closes idle ones. Requests that have
+  //! arrived, also on connections that wait to be accepted, still receive their
+  //! response.
   void Stop();
 
+  //! The number of open connections. Callable from any thread.
+  std::size_t ConnectionCount() const;
+
   //! The bound port, also when port 0 was requested.
   std::uint16_t Port() const;
 
--- a/packages/http/internal/httpconnection.cpp
+++ b/packages/http/internal/httpconnection.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+//! Time to receive the rest of a request when the server stops.
+constexpr foundation::Duration kLastReadTimeoutMs =
+  std::chrono::milliseconds(500);
+
 //! Ensures that a request receives a single response: the first one delivered.
 struct PendingResponse
   : boost::intrusive_ref_counter<PendingResponse, boost::thread_safe_counter>
@@ -80,6 +84,12 @@
   , stream_(std::move(aSocket))
   , handlerTimer_(stream_.get_executor())
 {
+  ++state_->connectionCount_;
+}
+
+HttpConnection::~HttpConnection()
+{
+  --state_->connectionCount_;
 }
 
 void
@@ -98,16 +108,24 @@
 HttpConnection::Stop()
 {
   asio::post(stream_.get_executor(), [self = HttpConnectionPtr(this)] {
-    if (self->reading_ && self->buffer_.size() == 0) {
+    if (self->reading_ && !self->HasArrivedInput()) {
       self->Close();
     }
   });
 }
 
+bool
+HttpConnection::HasArrivedInput()
+{
+  beast::error_code error;
+  return buffer_.size() > 0 || stream_.socket().available(error) > 0;
+}
+
 void
 HttpConnection::Read()
 {
-  if (state_->stopping_) {
+  const bool stopping = state_->stopping_;
+  if (stopping && !HasArrivedInput()) {
     Close();
     return;
   }
@@ -115,7 +133,8 @@
   parser_->body_limit(state_->settings_.maxBodyBytes_);
   parser_->header_limit(
     static_cast<std::uint32_t>(state_->settings_.maxHeaderBytes_));
-  stream_.expires_after(state_->settings_.readTimeout_);
+  stream_.expires_after(stopping ? kLastReadTimeoutMs
+                                 : state_->settings_.readTimeout_);
   reading_ = true;
   beast::http::async_read(
     stream_,
--- a/packages/http/internal/httpconnection.h
+++ b/packages/http/internal/httpconnection.h
@@ -29,6 +29,7 @@
   RequestHandler handler_;
   HttpServerSettings settings_;
   std::atomic<bool> stopping_{ false };
+  std::atomic<std::size_t> connectionCount_{ 0 };
   std::mutex mutex_; //!< guards connections_
   //! Each entry holds a reference to its connection until that is closed.
   boost::intrusive::list<ConnectionEntry> connections_;
@@ -44,12 +45,15 @@
 public:
   HttpConnection(boost::asio::ip::tcp::socket aSocket,
                  std::shared_ptr<ServerState> aState);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
 
   //! Adds the connection to the server's list and reads the first request.
   void Start();
 
-  //! Closes the connection if it is idle, otherwise after the current response.
-  //! Callable from any thread.
+  //! Closes the connection if no request has arrived, otherwise after the
+  //! current response. Callable from any thread.
   void Stop();
 
   //! Writes the response to the current request. Callable from any thread, once
@@ -62,6 +66,7 @@
   using RequestParser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  bool HasArrivedInput();
   void Read();
   void OnRead(boost::beast::error_code aError);
   void HandleRequest();
