The control thread no longer waits for the host's memory to be written

Cause, in part: HostAgent saved the host's memory on the control thread at each revision: a file, its rename and the folder, two syncs.

Change: MemoryWriter saves it on a thread of its own, the newest of what arrives during a write. As before a revision is in force (published, reported to the leader, answered to the operator) only after the attempt to save it, and a failed write is logged and passed over. A host that stops waits for the write in progress only: what waits behind it was never in force.

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -124,8 +124,12 @@
   agent.heartbeatInterval_ = settings_.heartbeatInterval_;
   agent.seed_ = boot_;
   agent.trace_ = trace_;
-  agent_ = std::make_unique<HostAgent>(
-    agent, settings_.dataFolder_.empty() ? nullptr : &folder_, *this, traffic_);
+  agent_ = std::make_unique<HostAgent>(context_,
+                                       agent,
+                                       settings_.dataFolder_.empty() ? nullptr
+                                                                     : &folder_,
+                                       *this,
+                                       traffic_);
   agent_->onHosts_ = [this](const std::vector<wire::HostInfo>& aHosts) {
     hosts_ = aHosts;
     unlistedHosts_.clear();
@@ -248,6 +252,7 @@
   work_.reset();
   context_.stop();
   thread_.join();
+  agent_->Stop();
   storage::CloseDataFolder(folder_);
 }
 
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -22,11 +22,13 @@
 
 } // namespace
 
-HostAgent::HostAgent(HostAgentSettings aSettings,
+HostAgent::HostAgent(boost::asio::io_context& aContext,
+                     HostAgentSettings aSettings,
                      storage::DataFolder* aFolder,
                      PeerPort& aPort,
                      traffic::TrafficRuntime& aTraffic)
-  : settings_(std::move(aSettings))
+  : context_(aContext)
+  , settings_(std::move(aSettings))
   , folder_(aFolder)
   , port_(aPort)
   , traffic_(aTraffic)
@@ -46,6 +48,18 @@
       return error;
     }
     view_ = configuration::FromMemory(memory);
+    received_ = view_;
+    writer_ = std::make_unique<MemoryWriter>(
+      context_,
+      *folder_,
+      [this](const configuration::ConfigurationView& aView,
+             std::error_code aError) {
+        if (aError) {
+          foundation::LogWarning(
+            "agent", "memory-not-saved", { { "error", aError.message() } });
+        }
+        PutInForce(aView);
+      });
     Feed(grants::RevisionInForce{ view_.state_.revision() });
     recording::RecordRevision(settings_.trace_, view_.state_.revision());
   }
@@ -270,18 +284,22 @@
 HostAgent::Execute(const grants::ConfigurationReceived& aAction)
 {
   const configuration::ViewChange change =
-    configuration::ApplyReply(view_, aAction.reply_);
+    configuration::ApplyReply(received_, aAction.reply_);
+  view_.highestRevisionSeen_ = received_.highestRevisionSeen_;
   if (!change.changed_) {
     return;
   }
-  if (folder_ != nullptr) {
-    const std::error_code error =
-      storage::SaveHostMemory(*folder_, configuration::ToMemory(view_));
-    if (error) {
-      foundation::LogWarning(
-        "agent", "memory-not-saved", { { "error", error.message() } });
-    }
+  if (writer_ != nullptr) {
+    writer_->Save(received_);
+  } else {
+    PutInForce(received_);
   }
+}
+
+void
+HostAgent::PutInForce(const configuration::ConfigurationView& aView)
+{
+  view_.state_ = aView.state_;
   foundation::LogChange(
     "agent",
     "configuration-in-force",
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -2,11 +2,13 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "control/memorywriter.h"
 #include "control/peerport.h"
 #include "core/configuration/configurationview.h"
 #include "core/grants/holder.h"
@@ -36,14 +38,19 @@
 class HostAgent
 {
 public:
-  //! aFolder is null on a host without a data folder.
-  HostAgent(HostAgentSettings aSettings,
+  //! aFolder is null on a host without a data folder. aContext is run by the
+  //! control thread.
+  HostAgent(boost::asio::io_context& aContext,
+            HostAgentSettings aSettings,
             storage::DataFolder* aFolder,
             PeerPort& aPort,
             traffic::TrafficRuntime& aTraffic);
 
   //! Loads the configuration that was stored in the data folder.
   std::error_code Start();
+  //! Waits for the write in progress to the data folder. The control thread
+  //! must have ended.
+  void Stop() { writer_.reset(); }
 
   void OnTick();
   //! Time at which the next tick is due.
@@ -117,6 +124,7 @@
   void Execute(const core::grants::ConfigurationReceived& aAction);
   void Execute(const core::grants::HostsChanged& aAction);
 
+  void PutInForce(const core::configuration::ConfigurationView& aView);
   void ApplyMembers(const wire::HeartbeatReply& aReply);
   void ApplyUnusable(const wire::HeartbeatReply& aReply);
   void Publish();
@@ -124,6 +132,7 @@
   traffic::GroupRoute MakeRoute(const wire::GroupState& aGroup) const;
   static traffic::DatabaseRoute MakeRoute(const wire::DatabaseState& aDatabase);
 
+  boost::asio::io_context& context_;
   HostAgentSettings settings_;
   storage::DataFolder* folder_;
   PeerPort& port_;
@@ -133,7 +142,11 @@
   foundation::Instant lastLeaderContact_ = startedAt_;
   bool reachedLeader_ = false;
   bool noLeaderSinceStart_ = false;
-  core::configuration::ConfigurationView view_;
+  core::configuration::ConfigurationView view_; //!< in force
+  //! The newest configuration. Not in force until it is saved, so that the
+  //! revision in force does not go back when the process is killed.
+  core::configuration::ConfigurationView received_;
+  std::unique_ptr<MemoryWriter> writer_; //!< null without a data folder
   core::membership::MembershipState announced_;
   std::vector<wire::HostInfo> hosts_;
   std::set<std::pair<foundation::GroupName, foundation::TargetName>> unusable_;
--- /dev/null
+++ b/apps/wigeonlbd/tests/hostagent_tests.cpp
@@ -0,0 +1,198 @@
+#include <condition_variable>
+#include <mutex>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <catch2/catch.hpp>
+
+#include "control/hostagent.h"
+#include "storage/memberstore.h"
+#include "storage/tests/memoryfilesystem.h"
+
+namespace wigeonlb::daemon::control {
+
+namespace {
+
+constexpr std::chrono::seconds kWaitLimitSeconds{ 5 };
+
+//! A disk whose writes of files wait until they are allowed, at most 5 s. Only
+//! one thread at a time uses it.
+struct SlowDisk : storage::MemoryFileSystem
+{
+  std::error_code Sync(storage::FileHandle aFile) override
+  {
+    std::unique_lock lock(mutex_);
+    ++begun_;
+    changed_.notify_all();
+    const bool allowed = changed_.wait_for(
+      lock, kWaitLimitSeconds, [this] { return begun_ <= allowed_; });
+    timedOut_ = timedOut_ || !allowed;
+    return fails_ ? std::make_error_code(std::errc::io_error)
+                  : MemoryFileSystem::Sync(aFile);
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  int begun_ = 0;
+  int allowed_ = 1; //!< the first write is that of the folder's identity
+  bool timedOut_ = false;
+  bool fails_ = false;
+};
+
+void
+AllowWrites(SlowDisk& aDisk)
+{
+  const std::lock_guard lock(aDisk.mutex_);
+  aDisk.allowed_ = 1000;
+  aDisk.changed_.notify_all();
+}
+
+//! Waits until the second write has begun. Returns whether it waits.
+bool
+WaitForWrite(SlowDisk& aDisk)
+{
+  std::unique_lock lock(aDisk.mutex_);
+  aDisk.changed_.wait_for(
+    lock, kWaitLimitSeconds, [&] { return aDisk.begun_ == 2; });
+  return aDisk.begun_ == 2 && !aDisk.timedOut_;
+}
+
+struct NoPort : PeerPort
+{
+  void SendControl(const foundation::HostId& /*aHost*/,
+                   wire::PeerMessage /*aMessage*/) override
+  {
+  }
+};
+
+HostAgentSettings
+MakeSettings()
+{
+  HostAgentSettings settings;
+  settings.self_.set_host("h");
+  settings.members_ = { "a" };
+  return settings;
+}
+
+settings::DaemonSettings
+MakeDaemonSettings()
+{
+  settings::DaemonSettings settings;
+  settings.hostId_ = "h";
+  settings.trafficThreads_ = 1;
+  return settings;
+}
+
+//! The agent of a host with a slow disk.
+struct Fixture
+{
+  SlowDisk disk_;
+  storage::DataFolder folder_;
+  foundation::MetricsRegistry registry_;
+  traffic::TrafficMetrics metrics_{ registry_ };
+  traffic::TrafficRuntime traffic_{
+    MakeDaemonSettings(), 1, metrics_, {}, {}, {}
+  };
+  NoPort port_;
+  boost::asio::io_context context_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    work_{ context_.get_executor() };
+  std::unique_ptr<HostAgent> agent_;
+
+  Fixture()
+  {
+    REQUIRE_FALSE(storage::OpenDataFolder(disk_, "data", "h", folder_));
+    agent_ = std::make_unique<HostAgent>(
+      context_, MakeSettings(), &folder_, port_, traffic_);
+    REQUIRE_FALSE(agent_->Start());
+  }
+  ~Fixture() { AllowWrites(disk_); }
+};
+
+void
+Receive(Fixture& aFixture, foundation::Revision aRevision)
+{
+  wire::HeartbeatReply reply;
+  reply.set_from("a");
+  reply.set_whole(true);
+  reply.set_revision(aRevision);
+  aFixture.agent_->OnReply(reply);
+}
+
+foundation::Revision
+InForce(const Fixture& aFixture)
+{
+  return aFixture.agent_->View().state_.revision();
+}
+
+//! Handles events until the revision is in force. Returns whether it is.
+bool
+RunUntilInForce(Fixture& aFixture, foundation::Revision aRevision)
+{
+  const auto end = foundation::SteadyNow() + kWaitLimitSeconds;
+  while (InForce(aFixture) < aRevision && foundation::SteadyNow() < end) {
+    aFixture.context_.run_one_for(kWaitLimitSeconds);
+  }
+  return InForce(aFixture) == aRevision;
+}
+
+foundation::Revision
+LoadRevision(const Fixture& aFixture)
+{
+  wire::HostMemory memory;
+  REQUIRE_FALSE(storage::LoadHostMemory(aFixture.folder_, memory));
+  return memory.view().revision();
+}
+
+} // namespace
+
+TEST_CASE("a slow disk delays a configuration but not the control thread",
+          "[hostagent]")
+{
+  Fixture fixture;
+  Receive(fixture, 5);
+  REQUIRE(WaitForWrite(fixture.disk_));
+
+  // Several revisions during a write need only one more.
+  for (const foundation::Revision revision : { 6U, 7U, 8U }) {
+    Receive(fixture, revision);
+  }
+  fixture.context_.poll();
+  CHECK(InForce(fixture) == 0);
+  CHECK(fixture.agent_->Holder().revision_ == 0);
+  REQUIRE_FALSE(fixture.disk_.timedOut_);
+
+  AllowWrites(fixture.disk_);
+  REQUIRE(RunUntilInForce(fixture, 8));
+  CHECK(fixture.agent_->Holder().revision_ == 8);
+  CHECK(fixture.agent_->View().highestRevisionSeen_ == 8);
+  fixture.agent_->Stop();
+  CHECK(LoadRevision(fixture) == 8);
+  CHECK(fixture.disk_.begun_ == 3);
+}
+
+TEST_CASE("a configuration that can't be saved is in force", "[hostagent]")
+{
+  Fixture fixture;
+  fixture.disk_.fails_ = true;
+  AllowWrites(fixture.disk_);
+  Receive(fixture, 5);
+  CHECK(RunUntilInForce(fixture, 5));
+  fixture.agent_->Stop();
+  CHECK(LoadRevision(fixture) == 0);
+}
+
+TEST_CASE("a host that stops waits for the write in progress only",
+          "[hostagent]")
+{
+  Fixture fixture;
+  Receive(fixture, 5);
+  REQUIRE(WaitForWrite(fixture.disk_));
+  Receive(fixture, 6);
+  AllowWrites(fixture.disk_);
+  fixture.agent_->Stop();
+  // The second one was saved only if it had begun before the stop.
+  CHECK(LoadRevision(fixture) >= 5);
+  CHECK(InForce(fixture) == 0);
+}
+
+} // namespace wigeonlb::daemon::control
