A change of a host that can't reach the leader is relayed by another member

Cause: heartbeats are relayed, change requests were not. A member that was asked in the leader's place only named the leader. The ticket was answered to the leader's address as well, and a member spent a third of its other attempts on itself.

Change: every second request goes to another member and asks for a relay. That member sends it to the leader as its own, under a number of its own, and the reply back; the request with the ticket takes the route on which the ticket came. A request is relayed once. An older leader or member needs no change: it ignores the field.

--- a/apps/wigeonlbd/control/changesubmitter.cpp
+++ b/apps/wigeonlbd/control/changesubmitter.cpp
@@ -50,13 +50,23 @@
   leaderHint_ = aLeader;
 }
 
+//! Alternates between the leader and the members that may relay to it.
 foundation::HostId
 ChangeSubmitter::ChooseMember(const Pending& aPending) const
 {
   if (!leaderHint_.empty() && aPending.attempts_ % 2 == 0) {
     return leaderHint_;
   }
-  return members_[aPending.attempts_ % members_.size()];
+  std::vector<foundation::HostId> others;
+  for (const foundation::HostId& member : members_) {
+    if (member != self_ && member != leaderHint_) {
+      others.push_back(member);
+    }
+  }
+  const auto& choice = others.empty() ? members_ : others;
+  const std::size_t turn =
+    leaderHint_.empty() ? aPending.attempts_ : aPending.attempts_ / 2;
+  return choice[turn % choice.size()];
 }
 
 void
@@ -85,6 +95,7 @@
     ++aPending.unresolved_;
     *request.mutable_ticket() = *aPending.ticket_;
   }
+  request.set_relay(aMember != leaderHint_);
   port_.SendControl(aMember, std::move(message));
 }
 
@@ -108,6 +119,9 @@
     }
     ++item;
   }
+  std::erase_if(relayed_, [now](const auto& aItem) {
+    return now >= aItem.second.forgetAt_;
+  });
 }
 
 foundation::Instant
@@ -133,6 +147,9 @@
     leads && static_cast<std::size_t>(
                core::consensus::Members(member_->Consensus()).voters_size()) >=
                minVoters_;
+  if (!leads && Relay(requester, aRequest)) {
+    return;
+  }
   if (!enough) {
     wire::ChangeReply reply;
     reply.set_leader_hint(member_ == nullptr ? ""
@@ -156,6 +173,29 @@
   member_->Feed(proposal);
 }
 
+bool
+ChangeSubmitter::Relay(const Requester& aRequester,
+                       const wire::ChangeRequest& aRequest)
+{
+  if (!aRequest.relay() || member_ == nullptr) {
+    return false;
+  }
+  const foundation::HostId& leader = member_->Consensus().leader_;
+  if (leader.empty() || leader == self_ || leader == aRequester.host_) {
+    return false;
+  }
+  const std::uint64_t number = nextRequest_++;
+  relayed_[number] = { aRequester, SteadyNow() + kChangeTimeoutMs };
+  wire::PeerMessage message;
+  auto& request = *message.mutable_change_request();
+  request = aRequest;
+  request.set_request(number);
+  // Members that disagree about the leader must not send it in circles.
+  request.set_relay(false);
+  port_.SendControl(leader, std::move(message));
+  return true;
+}
+
 bool
 ChangeSubmitter::MayPropose(const wire::ChangeRequest& aRequest) const
 {
@@ -209,9 +249,10 @@
 }
 
 //! Processes a reply without a decision. If it has a ticket, sends the change
-//! again with it.
+//! again with it, on the route on which the ticket arrived.
 void
-ChangeSubmitter::ProcessTicket(const wire::ChangeReply& aReply,
+ChangeSubmitter::ProcessTicket(const foundation::HostId& aFrom,
+                               const wire::ChangeReply& aReply,
                                Pending& aPending)
 {
   if (aReply.had_ticket()) {
@@ -219,13 +260,21 @@
   }
   if (aReply.has_ticket()) {
     aPending.ticket_ = aReply.ticket();
-    Send(aReply.leader_hint(), aReply.request(), aPending);
+    Send(aFrom, aReply.request(), aPending);
   }
 }
 
 void
-ChangeSubmitter::OnReply(const wire::ChangeReply& aReply)
+ChangeSubmitter::OnReply(const foundation::HostId& aFrom,
+                         const wire::ChangeReply& aReply)
 {
+  const auto relayed = relayed_.find(aReply.request());
+  if (relayed != relayed_.end()) {
+    const Requester requester = relayed->second.requester_;
+    relayed_.erase(relayed);
+    Answer(requester, aReply);
+    return;
+  }
   const auto found = pending_.find(aReply.request());
   if (found == pending_.end()) {
     return;
@@ -234,7 +283,7 @@
     if (!aReply.leader_hint().empty()) {
       leaderHint_ = aReply.leader_hint();
     }
-    ProcessTicket(aReply, found->second);
+    ProcessTicket(aFrom, aReply, found->second);
     return; // without a ticket, OnTick resends the change
   }
   const ChangeDone done = std::move(found->second.done_);
--- a/apps/wigeonlbd/control/changesubmitter.h
+++ b/apps/wigeonlbd/control/changesubmitter.h
@@ -34,7 +34,9 @@
 //! most once. The first request has no ticket; the leader replies with one, a
 //! permit to propose the change within
 //! core::configuration::kChangeTicketLifetimeMs, and proposes only requests
-//! with a valid ticket. Used on the control thread.
+//! with a valid ticket. Requests to other members than the leader ask for a
+//! relay: the leader may be out of this host's reach only. Used on the control
+//! thread.
 class ChangeSubmitter
 {
 public:
@@ -55,7 +57,8 @@
   const foundation::HostId& LeaderHint() const { return leaderHint_; }
   void OnRequest(const foundation::HostId& aFrom,
                  const wire::ChangeRequest& aRequest);
-  void OnReply(const wire::ChangeReply& aReply);
+  void OnReply(const foundation::HostId& aFrom,
+               const wire::ChangeReply& aReply);
   void OnApplied(std::uint64_t aIndex,
                  const core::configuration::ApplyResult& aResult);
   void OnDecided(const core::consensus::ProposalDecided& aDecision);
@@ -82,11 +85,24 @@
     bool hadTicket_ = false;
   };
 
+  //! A request of another host that this member sent to the leader under a
+  //! number of its own.
+  struct Relayed
+  {
+    Requester requester_;
+    foundation::Instant forgetAt_;
+  };
+
   void Attempt(std::uint64_t aRequest, Pending& aPending);
   void Send(const foundation::HostId& aMember,
             std::uint64_t aRequest,
             Pending& aPending);
-  void ProcessTicket(const wire::ChangeReply& aReply, Pending& aPending);
+  void ProcessTicket(const foundation::HostId& aFrom,
+                     const wire::ChangeReply& aReply,
+                     Pending& aPending);
+  //! Relays a request to the leader. Returns false if it must not be relayed or
+  //! no other leader is known.
+  bool Relay(const Requester& aRequester, const wire::ChangeRequest& aRequest);
   bool MayPropose(const wire::ChangeRequest& aRequest) const;
   void Answer(const Requester& aRequester, const wire::ChangeReply& aReply);
   foundation::HostId ChooseMember(const Pending& aPending) const;
@@ -100,6 +116,7 @@
   std::uint64_t nextRequest_ = 1;
   std::uint64_t nextToken_ = 1;
   std::map<std::uint64_t, Pending> pending_;
+  std::map<std::uint64_t, Relayed> relayed_;      //!< numbered as pending_
   std::map<std::uint64_t, Requester> requesters_; //!< by token
   std::uint64_t lastIndex_ = 0;
   wire::ChangeResult lastResult_; //!< of the change applied at lastIndex_
--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -450,7 +450,7 @@
       submitter_->OnRequest(aMessage.from(), aMessage.change_request());
       return;
     case Body::kChangeReply:
-      submitter_->OnReply(aMessage.change_reply());
+      submitter_->OnReply(aMessage.from(), aMessage.change_reply());
       return;
     case Body::kOperatorQuestion:
     case Body::kOperatorAnswer:
