A host that was held up itself doesn't take its peers for lost

A host that gets no processor for 800 ms takes every peer with a ping on its way for lost, ends the requests that it sent to them and rolls back what they run at it.

Cause: after its pause the link thread reads the pongs that have arrived, but ignores those for pings older than 800 ms; then the oldest ping counts as unanswered. A pong behind more than 1000 messages wasn't read at all before the loss was decided.

Change: the age of a pong doesn't count; one for a ping from before a loss is ignored as before, by the time at which the link was opened. A peer is lost only when a ping that was sent at three quarters of the time, or later if this host was held up, is unanswered for the last quarter. A silent peer is lost after 800 ms as before; a host that was held up needs at most 200 ms more.

--- a/packages/peer/internal/linkhealth.cpp
+++ b/packages/peer/internal/linkhealth.cpp
@@ -26,7 +26,8 @@
 HasTimedOut(const Link& aLink, const LinkPolicy& aPolicy, Instant aNow)
 {
   if (aLink.reachable_) {
-    return GetPingDeadline(aLink.pings_, aPolicy.settings_.lostAfter_) < aNow;
+    return aLink.pings_.confirmingSince_ &&
+           GetPingDeadline(aLink.pings_, aPolicy.settings_.lostAfter_) < aNow;
   }
   return !aLink.lost_ && aNow - aLink.openedAt_ > aPolicy.settings_.lostAfter_;
 }
@@ -51,7 +52,9 @@
   }
   Instant deadline = Instant::max();
   if (aLink.reachable_) {
-    deadline = GetPingDeadline(aLink.pings_, aPolicy.settings_.lostAfter_);
+    const Duration lostAfter = aPolicy.settings_.lostAfter_;
+    deadline = std::min(GetConfirmingPingTime(aLink.pings_, lostAfter),
+                        GetPingDeadline(aLink.pings_, lostAfter));
   } else if (!aLink.lost_) {
     deadline = aLink.openedAt_ + aPolicy.settings_.lostAfter_;
   }
--- a/packages/peer/internal/linkthread.cpp
+++ b/packages/peer/internal/linkthread.cpp
@@ -282,6 +282,11 @@
     MarkLost(aLink);
     Open(aLink, aNow);
   }
+  if (aLink.reachable_ &&
+      GetConfirmingPingTime(aLink.pings_, settings_.lostAfter_) <= aNow) {
+    aLink.pings_.confirmingSince_ = aNow;
+    Ping(aLink, aNow);
+  }
   if (aLink.retryAt_ > aNow) {
     return;
   }
--- a/packages/peer/internal/linkthreadreceive.cpp
+++ b/packages/peer/internal/linkthreadreceive.cpp
@@ -147,9 +147,9 @@
   const Instant now = SteadyNow();
   const Instant sentAt{ Duration(aPong.sent_at_us()) };
   // A pong for a ping from before a loss, or from a previous start of this
-  // host, does not reflect the current state of the link.
-  if (sentAt > now || now - sentAt > settings_.lostAfter_ ||
-      sentAt < aLink.openedAt_) {
+  // host, does not reflect the current state of the link. Its age does not
+  // count: a pong lies unread while this host is held up.
+  if (sentAt > now || sentAt < aLink.openedAt_) {
     return;
   }
   const Duration held(aPong.held_us());
--- a/packages/peer/internal/pingstate.cpp
+++ b/packages/peer/internal/pingstate.cpp
@@ -1,5 +1,6 @@
 #include "peer/internal/pingstate.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "forward.pb.h"
@@ -29,6 +30,7 @@
     return;
   }
   aState.unansweredSince_.reset();
+  aState.confirmingSince_.reset();
   if (aSentAt < aState.lastPing_) {
     aState.unansweredSince_ = aState.lastPing_;
   }
@@ -62,11 +64,24 @@
   return aState.pendingPong_->receivedAt_ + wait;
 }
 
+Instant
+GetConfirmingPingTime(const PingState& aState, Duration aLostAfter)
+{
+  return aState.unansweredSince_ && !aState.confirmingSince_
+           ? *aState.unansweredSince_ + aLostAfter - aLostAfter / 4
+           : Instant::max();
+}
+
 Instant
 GetPingDeadline(const PingState& aState, Duration aLostAfter)
 {
-  return aState.unansweredSince_ ? *aState.unansweredSince_ + aLostAfter
-                                 : Instant::max();
+  if (!aState.unansweredSince_) {
+    return Instant::max();
+  }
+  const Instant deadline = *aState.unansweredSince_ + aLostAfter;
+  return aState.confirmingSince_
+           ? std::max(deadline, *aState.confirmingSince_ + aLostAfter / 4)
+           : deadline;
 }
 
 } // namespace wigeonlb::peer
--- a/packages/peer/internal/pingstate.h
+++ b/packages/peer/internal/pingstate.h
@@ -23,6 +23,8 @@
   foundation::Instant lastPing_{};
   //! When the oldest unanswered ping was sent.
   std::optional<foundation::Instant> unansweredSince_;
+  //! When the last ping was sent that decides on the loss of a silent peer.
+  std::optional<foundation::Instant> confirmingSince_;
   std::optional<PendingPong> pendingPong_;
 };
 
@@ -58,6 +60,13 @@
 foundation::Instant
 GetPongTime(const PingState& aState);
 
+//! When the peer has been silent for so long that one more ping has to be sent,
+//! after which it counts as lost: this host may itself have been held up, with
+//! the pongs unread. Instant::max() when that ping was sent, or all pings are
+//! answered.
+foundation::Instant
+GetConfirmingPingTime(const PingState& aState, foundation::Duration aLostAfter);
+
 //! When the oldest unanswered ping times out; Instant::max() when all pings are
 //! answered.
 foundation::Instant
--- a/packages/peer/peerlinks.h
+++ b/packages/peer/peerlinks.h
@@ -20,8 +20,10 @@
 //! Maximum size of a serialized message; larger ones are refused on both sides.
 inline constexpr std::size_t kMaxMessageBytes = std::size_t{ 16 } * 1024 * 1024;
 
-//! A peer that does not respond for this long is considered lost. Four ping
-//! intervals, and longer than the scheduling delays of an overloaded host.
+//! A peer that does not respond for this long is considered lost, or later if
+//! this host was held up: a ping that it sent since must be unanswered too.
+//! Four ping intervals, and longer than the scheduling delays of an overloaded
+//! host.
 inline constexpr std::chrono::milliseconds kLostAfterMs{ 800 };
 
 //! Another host and the address that its links listen on.
--- a/packages/peer/tests/peerlinks_tests.cpp
+++ b/packages/peer/tests/peerlinks_tests.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 #include "peer/tests/testhost.h"
 
 namespace wigeonlb::peer {
@@ -132,6 +134,41 @@
   CHECK(left.WaitReachable("right", true));
 }
 
+TEST_CASE("a host that was held up itself does not take its peer for lost",
+          "[peerlinks]")
+{
+  // The pong for its last ping lies unread in its socket, behind messages.
+  const std::size_t count = GENERATE(1500, 5000);
+  PeerLinksSettings settings;
+  settings.pingInterval_ = std::chrono::milliseconds(100);
+  settings.lostAfter_ = 10 * settings.pingInterval_;
+  TestHost left("left", settings);
+  // The peer itself is patient, so that it loses no message.
+  PeerLinksSettings patient;
+  patient.lostAfter_ = 2 * kWaitLimitSeconds;
+  patient.queueAgeLimit_ = 2 * kWaitLimitSeconds;
+  TestHost right("right", patient);
+  Connect(left, right);
+  // The first pause makes a ping due. The second one begins after that ping,
+  // as at most 1000 messages are received in one turn.
+  std::size_t received = 0;
+  left.onMessage_ = [&] {
+    ++received;
+    if (received == 1) {
+      std::this_thread::sleep_for(settings.lostAfter_ / 4);
+    } else if (received == 1002) {
+      std::this_thread::sleep_for(2 * settings.lostAfter_);
+    }
+  };
+  for (std::size_t request = 0; request < count; ++request) {
+    REQUIRE_FALSE(right.links_->Send("left", Frames(request)));
+  }
+  CHECK(left.WaitMessages(count));
+  CHECK(left.WaitReachable("right", true));
+  CHECK(right.WaitReachable("left", true));
+  CHECK(left.lost_.empty());
+}
+
 TEST_CASE("sending on an idle link detects a lost peer", "[peerlinks]")
 {
   // All idle links together are pinged only once per second.
--- a/packages/peer/tests/pingstate_tests.cpp
+++ b/packages/peer/tests/pingstate_tests.cpp
@@ -41,6 +41,35 @@
   CHECK(GetPingDeadline(state, kLostAfterMs) == expected);
 }
 
+struct ConfirmRow
+{
+  std::optional<Duration> confirmed_; //!< send time of the confirming ping
+  Duration lost_;
+};
+
+TEST_CASE("a peer is lost after a ping that confirms its silence",
+          "[pingstate]")
+{
+  const auto row = GENERATE(values<ConfirmRow>({
+    { std::nullopt, 1500ms },
+    { 1125ms, 1500ms },
+    { 1400ms, 1775ms }, // sent late, as this host was held up
+    { 4000ms, 4375ms },
+  }));
+  PingState state;
+  RecordPing(state, kStart);
+  CHECK(GetConfirmingPingTime(state, kLostAfterMs) == kStart + 1125ms);
+  if (row.confirmed_) {
+    state.confirmingSince_ = kStart + *row.confirmed_;
+    RecordPing(state, kStart + *row.confirmed_);
+    CHECK(GetConfirmingPingTime(state, kLostAfterMs) == Instant::max());
+  }
+  CHECK(GetPingDeadline(state, kLostAfterMs) == kStart + row.lost_);
+  RecordPong(state, state.lastPing_);
+  CHECK(GetPingDeadline(state, kLostAfterMs) == Instant::max());
+  CHECK_FALSE(state.confirmingSince_);
+}
+
 struct PiggybackRow
 {
   Duration pingAge_; //!< age of the last ping
--- a/packages/peer/tests/testhost.h
+++ b/packages/peer/tests/testhost.h
@@ -38,6 +38,9 @@
       .onMessage_ =
         [this](wire::PeerMessage&& aMessage) {
           Update([&] { messages_.push_back(std::move(aMessage)); });
+          if (onMessage_) {
+            onMessage_();
+          }
         },
       .onPeerReachable_ =
         [this](const std::string& aHost) {
@@ -92,6 +95,7 @@
   std::vector<wire::PeerMessage> messages_;
   std::set<std::string> reachable_;
   std::set<std::string> lost_;
+  std::function<void()> onMessage_; //!< called on the link thread
   std::unique_ptr<PeerLinks> links_;
 };
 
