Answers for a peer that is silent for a while are delivered late, not dropped

What callers saw: requests that had run ended without an answer, 'no answer from host X within the deadline', when the link to their entry host was interrupted for less than their deadline.

Cause: a link drops what was queued for more than 800 ms, 'because its sender has timed out', and all that is queued when the peer counts as lost. That is right for requests, which must not be run after their sender has given up, and wrong for answers: the entry host waits for its deadline, and knows late answers by their request number and its boot.

Change: ForwardFrames and ForwardEnd stay in the queue, in order, for at most 30 s (as long as an owner keeps an idle transaction), within the limits of the queue's messages and bytes. All other messages are dropped as before: those queued before a loss by the time of the loss, because the queue can't be filtered while others write to it.

Not mended: what the socket holds is lost with it when a link is opened again after a loss (at most 256 messages, and what TCP hasn't delivered).

--- a/packages/peer/internal/link.cpp
+++ b/packages/peer/internal/link.cpp
@@ -121,6 +121,19 @@
   return sent;
 }
 
+//! Whether a message is too late to be sent.
+bool
+IsLate(const Link& aLink,
+       const OutgoingMessage& aMessage,
+       const SendContext& aContext)
+{
+  if (aMessage.answer_) {
+    return aContext.now_ - aMessage.queuedAt_ > aContext.answerAgeLimit_;
+  }
+  return aMessage.queuedAt_ <= aLink.lostAt_ ||
+         aContext.now_ - aMessage.queuedAt_ > aContext.ageLimit_;
+}
+
 void
 FlushQueue(Link& aLink, OutgoingQueue& aQueue, const SendContext& aContext)
 {
@@ -130,7 +143,7 @@
       return;
     }
     aLink.lastUsed_ = aContext.now_;
-    if (aContext.now_ - message->queuedAt_ > aContext.ageLimit_) {
+    if (IsLate(aLink, *message, aContext)) {
       ++aLink.counters_.dropped_;
       continue;
     }
@@ -278,10 +291,17 @@
 void
 DropPendingMessages(Link& aLink)
 {
-  DropPendingMessages(aLink, aLink.control_);
   DropPendingMessages(aLink, aLink.forward_);
+  DropMessagesOfLoss(aLink, foundation::SteadyNow());
+}
+
+void
+DropMessagesOfLoss(Link& aLink, foundation::Instant aNow)
+{
+  DropPendingMessages(aLink, aLink.control_);
   aLink.counters_.dropped_ += aLink.delayed_.size();
   aLink.delayed_.clear();
+  aLink.lostAt_ = aNow; // FlushQueue drops the rest, in order
 }
 
 PeerCounters
--- a/packages/peer/internal/link.h
+++ b/packages/peer/internal/link.h
@@ -24,7 +24,8 @@
   std::string payload_;
   TrafficClass class_ = TrafficClass::Control;
   SnapshotKind snapshot_ = SnapshotKind::None;
-  int requests_ = 0; //!< 1 for a statement, -1 for the end of its result
+  int requests_ = 0;    //!< 1 for a statement, -1 for the end of its result
+  bool answer_ = false; //!< part of a result; outlives a loss of the peer
   foundation::Instant queuedAt_{};
 };
 
@@ -75,9 +76,12 @@
   std::uint64_t boot_ = 0;       //!< latest boot number of the peer; 0: unknown
   std::uint64_t formerBoot_ = 0; //!< previous boot, to ignore its late messages
   std::size_t inFlight_ = 0;     //!< statements whose result is not complete
-  bool lost_ = false;            //!< the loss was reported; no response since
-  bool dropped_ = false;         //!< the host was removed by SetPeers
-  bool flushing_ = false;        //!< is in LinkThread::pendingLinks_
+  //! When the peer was last lost. Messages queued before are dropped, except
+  //! for answers: the peer may only have been silent, and still wait for them.
+  foundation::Instant lostAt_{};
+  bool lost_ = false;     //!< the loss was reported; no response since
+  bool dropped_ = false;  //!< the host was removed by SetPeers
+  bool flushing_ = false; //!< is in LinkThread::pendingLinks_
   //! The socket's queue was full at the last message.
   bool blocked_ = false;
 };
@@ -119,6 +123,7 @@
 {
   foundation::Instant now_;
   foundation::Duration ageLimit_;
+  foundation::Duration answerAgeLimit_;
   //! A ping is piggybacked on a message when the last ping is at least this
   //! old, with and without a response being awaited.
   foundation::Duration minPingAge_;
@@ -132,10 +137,14 @@
 void
 FlushLink(Link& aLink, const SendContext& aContext);
 
-//! Drops all queued and delayed messages, for a peer that was lost.
+//! Drops all queued and delayed messages, for a peer that was removed.
 void
 DropPendingMessages(Link& aLink);
 
+//! Drops all queued and delayed messages but answers, for a peer that was lost.
+void
+DropMessagesOfLoss(Link& aLink, foundation::Instant aNow);
+
 PeerCounters
 ReadCounters(const Link& aLink);
 
--- a/packages/peer/internal/linkthread.cpp
+++ b/packages/peer/internal/linkthread.cpp
@@ -334,7 +334,7 @@
 void
 LinkThread::MarkLost(Link& aLink)
 {
-  DropPendingMessages(aLink);
+  DropMessagesOfLoss(aLink, SteadyNow());
   aLink.reachable_ = false;
   if (!aLink.dealer_ || std::exchange(aLink.lost_, true)) {
     return;
@@ -359,6 +359,7 @@
   }
   const SendContext context{ aNow,
                              settings_.queueAgeLimit_,
+                             settings_.answerAgeLimit_,
                              settings_.pingInterval_ / 2,
                              idleInterval_,
                              &budget_,
--- a/packages/peer/internal/messageclass.cpp
+++ b/packages/peer/internal/messageclass.cpp
@@ -28,6 +28,12 @@
   return aMessage.has_forward_end() ? -1 : 0;
 }
 
+bool
+IsAnswer(const wire::PeerMessage& aMessage)
+{
+  return aMessage.has_forward_frames() || aMessage.has_forward_end();
+}
+
 SnapshotKind
 GetSnapshotKind(const wire::PeerMessage& aMessage)
 {
--- a/packages/peer/internal/messageclass.h
+++ b/packages/peer/internal/messageclass.h
@@ -13,6 +13,10 @@
 int
 GetInFlightChange(const wire::PeerMessage& aMessage);
 
+//! Whether a message is part of the result of a statement.
+bool
+IsAnswer(const wire::PeerMessage& aMessage);
+
 //! How the byte budget treats a message.
 enum class SnapshotKind : std::uint8_t
 {
--- a/packages/peer/peerlinks.cpp
+++ b/packages/peer/peerlinks.cpp
@@ -115,11 +115,11 @@
   }
   aMessage.set_from(impl_->settings_.host_);
   aMessage.set_boot(impl_->settings_.boot_);
-  OutgoingMessage message{ aMessage.SerializeAsString(),
-                           GetTrafficClass(aMessage),
-                           GetSnapshotKind(aMessage),
-                           GetInFlightChange(aMessage),
-                           foundation::SteadyNow() };
+  OutgoingMessage message{
+    aMessage.SerializeAsString(), GetTrafficClass(aMessage),
+    GetSnapshotKind(aMessage),    GetInFlightChange(aMessage),
+    IsAnswer(aMessage),           foundation::SteadyNow()
+  };
   if (message.payload_.size() > kMaxMessageBytes) {
     return PeerError::MessageTooLarge;
   }
--- a/packages/peer/peerlinks.h
+++ b/packages/peer/peerlinks.h
@@ -69,8 +69,11 @@
   std::size_t queueLimit_ = 10000;                                //!< messages
   std::size_t queueBytesLimit_ = std::size_t{ 16 } * 1024 * 1024; //!< bytes
   //! A message that was queued for longer is dropped, because its sender has
-  //! timed out.
+  //! timed out. Not the result of a statement, for which the peer may wait.
   foundation::Duration queueAgeLimit_ = kLostAfterMs;
+  //! The same for results of statements. As long as an owner keeps an idle
+  //! transaction by default.
+  foundation::Duration answerAgeLimit_ = std::chrono::seconds(30);
   //! Average rate of configuration snapshots, in bytes per second over all
   //! peers; 0 means no limit. Snapshots beyond it are delayed. Other messages
   //! count for nothing here, or many hosts' heartbeats would use it all.
