Running requests of a silent entry host go on and are answered

What callers saw: a request ended without an answer, 'no answer from host X within the deadline', at the deadline plus 250 ms, and the log of its owner said nothing.

Cause: an owner that gets no pong from an entry host for 800 ms, or was itself held up for so long, closed all sessions of that host, also those that ran, and told nobody. If the entry host sees no loss itself it waits for its deadline; an idle transaction was gone without a word until its next statement.

Change: at the loss nothing is ended. Running requests go on, to their deadline at the latest, and their answers wait in the link. Idle transactions are rolled back when the host stays silent for 2 s more (as long as a transaction that others wait for may be idle by default); one that a running statement leaves open is rolled back within 200 ms of its end. So an entry host that died holds connections for at most 800 ms + 2.2 s, or 200 ms beyond the deadline of its running statement. The next statement of a transaction that was rolled back is told so, as before; a COMMIT that runs is run to its end and answered. A former start of a host is ended at once, as before, and so is what an entry host gives up by a ForwardClose. No request is sent or run again.

--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -109,6 +109,7 @@
   };
   callbacks.onPeerReachable_ = [this](const foundation::HostId& aHost) {
     lostPeers_.SetReachable(aHost, true);
+    traffic_.OnHostReachable(aHost);
   };
   links_ = std::make_unique<peer::PeerLinks>(links, callbacks);
 
--- a/apps/wigeonlbd/tests/shardfixture.h
+++ b/apps/wigeonlbd/tests/shardfixture.h
@@ -79,9 +79,10 @@
   std::unique_ptr<TrafficShard> shard_;
   boost::asio::ip::tcp::socket client_;
 
-private:
   bool RunUntil(const std::function<bool()>& aCondition,
                 std::chrono::milliseconds aTimeout = std::chrono::seconds(10));
+
+private:
   void ReadAvailable();
 
   foundation::MetricsRegistry registry_;
--- a/apps/wigeonlbd/tests/trafficshard_tests.cpp
+++ b/apps/wigeonlbd/tests/trafficshard_tests.cpp
@@ -157,6 +157,102 @@
   CHECK(shard.IsReleased(now + std::chrono::seconds(1)) == stops);
 }
 
+TEST_CASE("a request of a host that is only silent is answered",
+          "[trafficshard]")
+{
+  const bool silent = GENERATE(false, true);
+  ShardFixture fixture;
+  // The kernel accepts the target's connections, and nothing ever answers.
+  boost::asio::ip::tcp::acceptor target(
+    fixture.context_, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  core::traffic::GroupChanged changed;
+  changed.group_.set_group("g");
+  changed.group_.set_term(1);
+  changed.group_.set_primary("t");
+  wire::TermStart& start = *changed.group_.add_history();
+  start.set_term(1);
+  start.set_primary("t");
+  wire::TargetState& state = *changed.group_.add_targets();
+  state.set_target("t");
+  state.set_address("127.0.0.1:" +
+                    std::to_string(target.local_endpoint().port()));
+  state.set_slots(1);
+  state.set_incarnation(1);
+  state.set_counted(true);
+  changed.usable_ = { "t" };
+  OwnerGroup& owner = fixture.shard_->GetOrCreateOwner("g");
+  owner.OnGroupChanged(changed);
+  core::traffic::HeldGrant grant;
+  grant.term_ = 1;
+  grant.primary_ = "t";
+  grant.share_ = 1;
+  grant.expires_ = foundation::SteadyNow() + std::chrono::minutes(1);
+  owner.OnGrantChanged({ grant });
+  wire::PeerMessage message;
+  message.set_from("other");
+  message.set_boot(1);
+  wire::ForwardRequest& request = *message.mutable_forward_request();
+  request.set_group("g");
+  request.set_session(1);
+  request.set_request(1);
+  request.set_statement("INSERT INTO t VALUES (1)");
+  request.set_deadline_us(300000);
+  fixture.shard_->OnPeerMessage(message);
+  REQUIRE(owner.RunningCount() == 1);
+  if (silent) {
+    fixture.shard_->OnHostLost("other");
+  }
+  CHECK(owner.RunningCount() == 1);
+  const auto hasEnd = [&] {
+    return std::ranges::any_of(fixture.port_.sent_, [](const auto& aSent) {
+      return aSent.first == "other" && aSent.second.has_forward_end();
+    });
+  };
+  CHECK(fixture.RunUntil(hasEnd, std::chrono::seconds(5)));
+  CHECK(owner.RunningCount() == 0);
+}
+
+TEST_CASE("an idle transaction of a lost host ends if the host stays silent",
+          "[trafficshard]")
+{
+  struct Row
+  {
+    bool lost_;
+    bool reachableAgain_;
+    bool ends_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { false, false, false },
+    { true, false, true },
+    { true, true, false },
+  }));
+  ShardFixture fixture;
+  TrafficShard& shard = *fixture.shard_;
+  OwnerGroup& owner = shard.GetOrCreateOwner("g");
+  // A statement of a transaction that isn't open here fails, and its session
+  // stays in the failed transaction.
+  wire::PeerMessage message;
+  message.set_from("other");
+  message.set_boot(1);
+  wire::ForwardRequest& request = *message.mutable_forward_request();
+  request.set_group("g");
+  request.set_session(1);
+  request.set_request(2);
+  request.set_in_transaction(true);
+  request.set_transaction(1);
+  shard.OnPeerMessage(message);
+  REQUIRE(owner.RunningCount() == 1);
+  if (row.lost_) {
+    shard.OnHostLost("other");
+    CHECK(owner.RunningCount() == 1);
+  }
+  if (row.reachableAgain_) {
+    shard.OnHostReachable("other");
+  }
+  const auto ended = [&] { return owner.RunningCount() == 0; };
+  CHECK(fixture.RunUntil(ended, std::chrono::milliseconds(3000)) == row.ends_);
+}
+
 TEST_CASE("an incomplete answer ends the session", "[entrysession]")
 {
   struct Row
--- a/apps/wigeonlbd/traffic/ownedsessions.cpp
+++ b/apps/wigeonlbd/traffic/ownedsessions.cpp
@@ -90,6 +90,19 @@
   return keys;
 }
 
+std::vector<SessionKey>
+OwnedSessions::FindUsedKeys(const foundation::HostId& aHost) const
+{
+  std::vector<SessionKey> keys;
+  for (const auto& [key, session] : sessions_) {
+    const bool used = session.running_ || session.transaction_ != 0;
+    if (std::get<0>(key) == aHost && used) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
 bool
 OwnedSessions::ContinuesTransaction(const SessionKey& aKey,
                                     const wire::ForwardRequest& aRequest) const
--- a/apps/wigeonlbd/traffic/ownedsessions.h
+++ b/apps/wigeonlbd/traffic/ownedsessions.h
@@ -73,6 +73,10 @@
   std::vector<SessionKey> FindKeys(const foundation::HostId& aHost,
                                    std::uint64_t aKeepBoot) const;
 
+  //! Keys of the sessions of a host with a running request or an open
+  //! transaction.
+  std::vector<SessionKey> FindUsedKeys(const foundation::HostId& aHost) const;
+
   //! Whether the request continues a transaction that is open here.
   bool ContinuesTransaction(const SessionKey& aKey,
                             const wire::ForwardRequest& aRequest) const;
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -74,8 +74,11 @@
                std::uint64_t aBoot,
                const wire::ForwardClose& aClose);
   //! Closes the sessions of an entry host, except those of its boot aKeepBoot.
-  //! 0 closes all of them: the host was lost.
+  //! With 0 the host was lost, and may only be silent: its running requests go
+  //! on and are answered, and its idle transactions are rolled back if it stays
+  //! silent.
   void OnHostLost(const foundation::HostId& aHost, std::uint64_t aKeepBoot);
+  void OnHostReachable(const foundation::HostId& aHost);
 
   std::vector<wire::TargetReport> Reports() const;
   const core::traffic::TrafficState& State() const { return state_; }
@@ -103,6 +106,10 @@
                       std::string aHeldEnd) override;
 
   void CloseSession(OwnedSession& aSession, std::uint64_t aRequest);
+  void SetSilentTimer();
+  void EndTransactionsOfSilentHosts();
+  //! Returns false if the host has nothing left here.
+  bool EndTransactionsOf(const foundation::HostId& aHost);
   void Feed(core::traffic::TrafficEvent aEvent);
   void SetTimer();
   void Execute(const core::traffic::OpenConnection& aAction);
@@ -149,6 +156,11 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   wire::GroupState group_;
   OwnedSessions sessions_;
+  //! Entry hosts that were lost, with the time at which their idle transactions
+  //! are rolled back.
+  std::map<foundation::HostId, foundation::Instant> silent_;
+  boost::asio::steady_timer silentTimer_;
+  bool silentTimerSet_ = false;
   RequestKeyExpiry expiry_;
   std::map<core::traffic::ConnectionId, ConnectionPointer> connections_;
   //! Connections that query the target's position after a commit.
--- a/apps/wigeonlbd/traffic/trafficruntime.cpp
+++ b/apps/wigeonlbd/traffic/trafficruntime.cpp
@@ -162,6 +162,13 @@
   WithEachShard([aHost](TrafficShard& aShard) { aShard.OnHostLost(aHost); });
 }
 
+void
+TrafficRuntime::OnHostReachable(const foundation::HostId& aHost)
+{
+  WithEachShard(
+    [aHost](TrafficShard& aShard) { aShard.OnHostReachable(aHost); });
+}
+
 void
 TrafficRuntime::SetRoutes(RoutingTablePointer aRoutes)
 {
--- a/apps/wigeonlbd/traffic/trafficruntime.h
+++ b/apps/wigeonlbd/traffic/trafficruntime.h
@@ -76,6 +76,7 @@
   //! Handles a forward message from a peer link.
   void OnPeerMessage(wire::PeerMessage aMessage);
   void OnHostLost(const foundation::HostId& aHost);
+  void OnHostReachable(const foundation::HostId& aHost);
 
   void SetRoutes(RoutingTablePointer aRoutes);
   void ChangeGroup(core::traffic::GroupChanged aEvent);
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -294,6 +294,14 @@
   }
 }
 
+void
+TrafficShard::OnHostReachable(const foundation::HostId& aHost)
+{
+  for (const auto& [name, owner] : owners_) {
+    owner->OnHostReachable(aHost);
+  }
+}
+
 void
 TrafficShard::SetRoutes(RoutingTablePointer aRoutes)
 {
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -72,6 +72,7 @@
 
   void OnPeerMessage(wire::PeerMessage aMessage);
   void OnHostLost(const foundation::HostId& aHost);
+  void OnHostReachable(const foundation::HostId& aHost);
   void SetRoutes(RoutingTablePointer aRoutes);
 
   //! Returns the owner group, and creates it if there is none. Stops retiring
