Work under a grant that is only not renewed may last as long as the lease

The core test 'a revoked term is drained, then released' shows the outcome: a write that needs 400 ms for its majority is unknown after a drain of 150 ms.

Change: the drain of a grant that is only not renewed ends with the lease (1 s by default). It ends sooner as soon as nothing runs, as before. A revocation that follows shortens it to 150 ms from then, and tells the traffic that it is revoked; it was ignored while the grant was stopped. A revocation is repeated by the leader until the grant is released. New writes are refused from the omission on, as before; answers are accepted only within the lease, as before.

A connection that a former owner's running statement holds counts for at most the rest of the lease longer, so a new owner's share may grow later.

--- a/packages/core/grants/internal/heldgrants.cpp
+++ b/packages/core/grants/internal/heldgrants.cpp
@@ -54,16 +54,15 @@
   aState.nextHeartbeat_ = aState.lastSent_;
 }
 
-//! Stops new writes under a grant. A grant that was not revoked, but only not
-//! renewed, may be issued again.
+//! Stops new writes under a grant until aReleaseBy.
 void
-StopGrant(HeldGrant& aHeld, Instant aNow, Actions& aActions)
+StopGrant(HeldGrant& aHeld, Instant aReleaseBy, Actions& aActions)
 {
-  if (aHeld.stopped_) {
+  if (aHeld.stopped_ && aHeld.releaseBy_ <= aReleaseBy) {
     return;
   }
   aHeld.stopped_ = true;
-  aHeld.releaseBy_ = std::min(aHeld.expires_, aNow + kReleaseDrainMs);
+  aHeld.releaseBy_ = std::min(aHeld.expires_, aReleaseBy);
   aActions.push_back(StopNewWrites{ aHeld.grant_.group(),
                                     aHeld.grant_.term(),
                                     aHeld.releaseBy_,
@@ -78,7 +77,7 @@
 {
   EndTerm(aState, aHeld.grant_.group(), aHeld.grant_.term());
   aHeld.revoked_ = true;
-  StopGrant(aHeld, aNow, aActions);
+  StopGrant(aHeld, aNow + kReleaseDrainMs, aActions);
 }
 
 void
@@ -190,12 +189,15 @@
                     Instant aNow,
                     Actions& aActions)
 {
+  // Mostly this host is no longer an owner: nothing waits for the release, so
+  // work in flight may use the rest of the lease. If the primary is changed, a
+  // revocation follows and ends the grant sooner. It may also be issued again.
   for (auto& [group, held] : aState.grants_) {
     const bool named = std::ranges::any_of(
       aReply.grants(),
       [&group = group](const auto& aGrant) { return aGrant.group() == group; });
     if (!named) {
-      StopGrant(held, aNow, aActions);
+      StopGrant(held, held.expires_, aActions);
       aState.urgentUntil_ = aNow + kUrgentPeriodMs;
     }
   }
--- a/packages/core/grants/tests/holder_tests.cpp
+++ b/packages/core/grants/tests/holder_tests.cpp
@@ -191,6 +191,49 @@
   CHECK(Holds(holder.state_, "g", 1, holder.now_));
 }
 
+TEST_CASE("work under a grant that is only not renewed may last as long as the "
+          "lease",
+          "[holder]")
+{
+  struct Row
+  {
+    bool omitted_;
+    bool revoked_;
+    std::size_t stops_;
+    Duration drain_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { true, false, 1, kLeaseMs },
+    { false, true, 1, kReleaseDrainMs },
+    { true, true, 2, kReleaseDrainMs },
+  }));
+  Fixture holder;
+  holder.Feed(ReplyReceived{ holder.NextReply(1) });
+  const Instant expires = holder.state_.grants_.at("g").expires_;
+  std::vector<StopNewWrites> stops;
+  const auto collect = [&] {
+    for (const auto& stop : holder.Actions<StopNewWrites>()) {
+      stops.push_back(stop);
+    }
+  };
+  if (row.omitted_) {
+    holder.Feed(ReplyReceived{ holder.NextReply(0) });
+    collect();
+  }
+  if (row.revoked_) {
+    holder.Feed(RevokeReceived{ MakeRevoke(1) });
+    collect();
+  }
+  REQUIRE(stops.size() == row.stops_);
+  CHECK(stops.back().revoked_ == row.revoked_);
+  CHECK(stops.back().releaseBy_ == std::min(expires, holder.now_ + row.drain_));
+  CHECK_FALSE(Holds(holder.state_, "g", 1, holder.now_));
+  holder.now_ = stops.back().releaseBy_;
+  holder.Feed(Tick{});
+  CHECK(holder.state_.grants_.empty());
+  CHECK(holder.Actions<GrantChanged>().size() == 1);
+}
+
 TEST_CASE("a smaller share is reported once connections are closed", "[holder]")
 {
   Fixture holder;
