An answer that waits for a dead peer doesn't keep the link open

What callers saw: nothing; found in a second series of whole runs of test_peer.

Cause: since answers stay queued for up to 30 s, each turn of the link thread that tried to send one counted as a use of the link. A link to a host that had gone was then open for 30 s longer, and a peer that is known by its messages only wasn't forgotten meanwhile.

Change: only a message that is younger than queueAgeLimit_ counts as a use when it is tried, which is the former behaviour.

It now has both orders as rows, and waits for the message in the one where it must arrive.

--- a/packages/peer/internal/link.cpp
+++ b/packages/peer/internal/link.cpp
@@ -142,7 +142,9 @@
     if (!message) {
       return;
     }
-    aLink.lastUsed_ = aContext.now_;
+    if (aContext.now_ - message->queuedAt_ <= aContext.ageLimit_) {
+      aLink.lastUsed_ = aContext.now_; // an old answer keeps no link open
+    }
     if (IsLate(aLink, *message, aContext)) {
       ++aLink.counters_.dropped_;
       continue;
--- a/packages/peer/peerlinks.h
+++ b/packages/peer/peerlinks.h
@@ -72,7 +72,7 @@
   //! timed out. Not the result of a statement, for which the peer may wait.
   foundation::Duration queueAgeLimit_ = kLostAfterMs;
   //! The same for results of statements. As long as an owner keeps an idle
-  //! transaction by default.
+  //! transaction by default, and shorter than closeAfter_.
   foundation::Duration answerAgeLimit_ = std::chrono::seconds(30);
   //! Average rate of configuration snapshots, in bytes per second over all
   //! peers; 0 means no limit. Snapshots beyond it are delayed. Other messages
--- a/packages/peer/tests/peerlinks_tests.cpp
+++ b/packages/peer/tests/peerlinks_tests.cpp
@@ -386,6 +386,7 @@
 TEST_CASE("a peer known by its messages only is forgotten when it is unused",
           "[peerlinks]")
 {
+  const bool answerStaysQueued = GENERATE(false, true);
   const std::string address = TestHost("former").links_->BoundAddress();
   PeerLinksSettings settings;
   settings.announcedAddress_ = address;
@@ -398,8 +399,15 @@
   REQUIRE_FALSE(joining.links_->Send("owner", Frames(1)));
   REQUIRE(owner.WaitMessages(1));
   owner.links_->SetPeers({});
-  CHECK_FALSE(owner.links_->Send("joining", Frames(2)));
+  if (!answerStaysQueued) {
+    CHECK_FALSE(owner.links_->Send("joining", Frames(2)));
+    REQUIRE(joining.WaitMessages(1));
+  }
   joining.links_->Stop();
+  if (answerStaysQueued) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK_FALSE(owner.links_->Send("joining", Frames(2)));
+  }
   CHECK(owner.WaitUntil([&] { return owner.links_->Counters().empty(); }));
 }
 
