--- a/apps/wigeonlbd/traffic/trafficruntime.cpp
+++ b/apps/wigeonlbd/traffic/trafficruntime.cpp
@@ -175,6 +175,13 @@
   });
 }
 
+void
+TrafficRuntime::OnHostReachable(const foundation::HostId& aHost)
+{
+  WithEachShard(
+    [aHost](TrafficShard& aShard) { aShard.OnHostReachable(aHost); });
+}
+
 void
 TrafficRuntime::SetRoutes(RoutingTablePointer aRoutes)
 {
--- a/apps/wigeonlbd/traffic/trafficruntime.h
+++ b/apps/wigeonlbd/traffic/trafficruntime.h
@@ -77,6 +77,7 @@
   void OnPeerMessage(wire::PeerMessage aMessage);
   void OnHostLost(const foundation::HostId& aHost);
   void OnHostRestarted(const foundation::HostId& aHost, std::uint64_t aBoot);
+  void OnHostReachable(const foundation::HostId& aHost);
 
   void SetRoutes(RoutingTablePointer aRoutes);
   void ChangeGroup(core::traffic::GroupChanged aEvent);
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -76,6 +76,7 @@
   void OnHostRestarted(const foundation::HostId& aHost, std::uint64_t aBoot);
   //! Ends the callers' requests that are still in progress: this host stops.
   void AbandonRequests();
+  void OnHostReachable(const foundation::HostId& aHost);
   void SetRoutes(RoutingTablePointer aRoutes);
 
   //! Returns the owner group, and creates it if there is none. Stops retiring
--- a/packages/peer/peerlinks.h
+++ b/packages/peer/peerlinks.h
@@ -20,8 +20,10 @@
 //! Maximum size of a serialized message; larger ones are refused on both sides.
 inline constexpr std::size_t kMaxMessageBytes = std::size_t{ 16 } * 1024 * 1024;
 
-//! A peer that does not respond for this long is considered lost. Four ping
-//! intervals, and longer than the scheduling delays of an overloaded host.
+//! A peer that does not respond for this long is considered lost, or later if
+//! this host was held up: a ping that it sent since must be unanswered too.
+//! Four ping intervals, and longer than the scheduling delays of an overloaded
+//! host.
 inline constexpr std::chrono::milliseconds kLostAfterMs{ 800 };
 
 //! Another host and the address that its links listen on.
@@ -67,8 +69,11 @@
   std::size_t queueLimit_ = 10000;                                //!< messages
   std::size_t queueBytesLimit_ = std::size_t{ 16 } * 1024 * 1024; //!< bytes
   //! A message that was queued for longer is dropped, because its sender has
-  //! timed out.
+  //! timed out. Not the result of a statement, for which the peer may wait.
   foundation::Duration queueAgeLimit_ = kLostAfterMs;
+  //! The same for results of statements. As long as an owner keeps an idle
+  //! transaction by default, and shorter than closeAfter_.
+  foundation::Duration answerAgeLimit_ = std::chrono::seconds(30);
   //! Average rate of configuration snapshots, in bytes per second over all
   //! peers; 0 means no limit. Snapshots beyond it are delayed. Other messages
   //! count for nothing here, or many hosts' heartbeats would use it all.
--- a/packages/peer/tests/testhost.h
+++ b/packages/peer/tests/testhost.h
@@ -39,6 +39,9 @@
       .onMessage_ =
         [this](wire::PeerMessage&& aMessage) {
           Update([&] { messages_.push_back(std::move(aMessage)); });
+          if (onMessage_) {
+            onMessage_();
+          }
         },
       .onPeerReachable_ =
         [this](const std::string& aHost) {
@@ -98,6 +101,7 @@
   std::set<std::string> reachable_;
   std::set<std::string> lost_;
   std::map<std::string, std::uint64_t> restarted_; //!< present boots
+  std::function<void()> onMessage_; //!< called on the link thread
   std::unique_ptr<PeerLinks> links_;
 };
 
