--- a/packages/storage/tests/memberstore_tests.cpp
+++ b/packages/storage/tests/memberstore_tests.cpp
@@ -7,38 +7,14 @@
 
 #include "storage/memberstore.h"
 #include "storage/storageerrors.h"
-#include "storage/tests/memoryfilesystem.h"
+#include "storage/tests/memberfixture.h"
 
 namespace wigeonlb::storage {
 
 namespace {
 
-constexpr std::string_view kPath = "data";
 constexpr std::size_t kHeaderBytes = 24;
 
-// A member's data folder on an in-memory file system.
-struct Fixture
-{
-  MemoryFileSystem files_;
-  DataFolder folder_;
-  MemberStore store_;
-  MemberImage image_;
-  foundation::Findings findings_;
-};
-
-std::error_code
-Open(Fixture& aFixture)
-{
-  aFixture.findings_.clear();
-  if (const std::error_code error =
-        OpenDataFolder(aFixture.files_, kPath, "a", aFixture.folder_)) {
-    return error;
-  }
-  aFixture.store_ = MemberStore();
-  return Load(
-    aFixture.folder_, aFixture.store_, aFixture.image_, aFixture.findings_);
-}
-
 wire::ConsensusEntry
 Entry(std::uint64_t aIndex, std::uint64_t aTerm)
 {
@@ -50,14 +26,6 @@
   return entry;
 }
 
-wire::HardState
-MakeHardState(std::uint64_t aTerm)
-{
-  wire::HardState hardState;
-  hardState.set_term(aTerm);
-  return hardState;
-}
-
 std::error_code
 SaveOne(MemberStore& aStore, std::uint64_t aIndex, std::uint64_t aTerm)
 {
--- a/packages/storage/tests/powerloss_tests.cpp
+++ b/packages/storage/tests/powerloss_tests.cpp
@@ -3,48 +3,16 @@
 #include <algorithm>
 
 #include "storage/internal/checksum.h"
-#include "storage/memberstore.h"
 #include "storage/storageerrors.h"
-#include "storage/tests/memoryfilesystem.h"
+#include "storage/tests/memberfixture.h"
 
 namespace wigeonlb::storage {
 
 namespace {
 
-const std::string kPath = "data";
 constexpr std::size_t kSectorBytes = 512;
 constexpr std::uint64_t kSyncedEntries = 3;
 
-struct Fixture
-{
-  MemoryFileSystem files_;
-  DataFolder folder_;
-  MemberStore store_;
-  MemberImage image_;
-  foundation::Findings findings_;
-};
-
-std::error_code
-Open(Fixture& aFixture)
-{
-  aFixture.findings_.clear();
-  if (const std::error_code error =
-        OpenDataFolder(aFixture.files_, kPath, "a", aFixture.folder_)) {
-    return error;
-  }
-  aFixture.store_ = MemberStore();
-  return Load(
-    aFixture.folder_, aFixture.store_, aFixture.image_, aFixture.findings_);
-}
-
-wire::HardState
-MakeHardState(std::uint64_t aTerm)
-{
-  wire::HardState hardState;
-  hardState.set_term(aTerm);
-  return hardState;
-}
-
 wire::ConsensusEntry
 MakeEntry(std::uint64_t aIndex, std::size_t aBytes)
 {
