--- a/packages/caller/tests/sessionend_tests.cpp
+++ b/packages/caller/tests/sessionend_tests.cpp
@@ -1,5 +1,7 @@
 #include "caller/tests/sessionfixture.h"
 
+#include <boost/asio/post.hpp>
+
 namespace wigeonlb::caller {
 
 using namespace std::string_literals;
@@ -122,4 +124,89 @@
   }
 }
 
+TEST_CASE("a connection that was accepted just before the host stops to accept "
+          "is served",
+          "[callerserver]")
+{
+  const std::size_t accepted = GENERATE(0, 1, 2); // when the host stops
+  constexpr std::size_t kCallers = 4;
+  Fixture fixture;
+  std::vector<tcp::socket> clients;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    clients.push_back(fixture.Connect(kStartup + Query("a")));
+  }
+  fixture.RunUntil([&] { return fixture.server_.SessionCount() == accepted; });
+  fixture.server_.StopAccepting();
+  fixture.server_.CloseIdle();
+  for (tcp::socket& client : clients) {
+    CHECK(ReadRest(fixture, client).starts_with(kAccepted + kReady));
+  }
+}
+
+TEST_CASE("a transaction that a late caller begins after the open ones were "
+          "ended does not outlast them",
+          "[callersession]")
+{
+  const bool isLate = GENERATE(false, true);
+  Fixture fixture;
+  fixture.recorder_.answer_ = [](CallerSession& aSession) {
+    aSession.FinishQuery(TransactionStatus::InTransaction);
+  };
+  std::optional<tcp::socket> client;
+  if (!isLate) {
+    client = fixture.Connect(kStartup + Query("begin"));
+    fixture.RunUntil([&] { return fixture.HasEvent("query begin"); });
+  }
+  fixture.server_.CloseIdle();
+  fixture.server_.EndTransactions();
+  if (isLate) {
+    client = fixture.Connect(kStartup + Query("begin"));
+  }
+  fixture.server_.StopAccepting();
+  // Longer than the times for a first query and for a refused caller.
+  const auto until = foundation::SteadyNow() + std::chrono::milliseconds(3000);
+  const std::string begun = kAccepted + Message('Z', "T");
+  std::string read;
+  client->non_blocking(true);
+  fixture.RunUntil([&] {
+    std::array<char, 4096> chunk{};
+    boost::system::error_code error;
+    read.append(chunk.data(),
+                client->read_some(boost::asio::buffer(chunk), error));
+    return error == boost::asio::error::eof ||
+           foundation::SteadyNow() >= until;
+  });
+  client->close();
+  CHECK(read.starts_with(begun));
+  CHECK(read.size() > begun.size()); // the error
+}
+
+TEST_CASE("a query that was read but not handled yet is answered before its "
+          "session is closed",
+          "[callersession]")
+{
+  const bool fillsChunk = GENERATE(false, true);
+  constexpr std::size_t kChunkBytes = 8192;
+  const std::size_t padding = fillsChunk ? kChunkBytes - 6 : 10;
+  const auto length = static_cast<std::uint32_t>(padding + 5);
+  std::string first = "Q\0\0"s;
+  first += static_cast<char>(length >> 8U);
+  first += static_cast<char>(length & 0xffU);
+  first += std::string(padding, 'x') + '\0';
+  Fixture fixture;
+  fixture.recorder_.answer_ = [&](CallerSession& aSession) {
+    // The answer of the first query is on its way when the second is read.
+    boost::asio::post(fixture.context_, [session = &aSession] {
+      session->RefuseWhenIdle({ .sqlstate_ = "57P01", .message_ = "stops" });
+      session->FinishQuery(TransactionStatus::Idle);
+    });
+  };
+  tcp::socket client = fixture.Connect(kStartup);
+  fixture.ReadUntil(client, kReady);
+  boost::asio::write(client, boost::asio::buffer(first + Query("b")));
+  const std::string read = ReadRest(fixture, client);
+  CHECK(read.starts_with(kReady + kReady + "E"));
+  CHECK(fixture.HasEvent("query b"));
+}
+
 } // namespace wigeonlb::caller
