--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -114,6 +114,7 @@
   };
   callbacks.onPeerReachable_ = [this](const foundation::HostId& aHost) {
     lostPeers_.SetReachable(aHost, true);
+    traffic_.OnHostReachable(aHost);
   };
   links_ = std::make_unique<peer::PeerLinks>(links, callbacks);
 
@@ -129,8 +130,12 @@
   agent.heartbeatInterval_ = settings_.heartbeatInterval_;
   agent.seed_ = boot_;
   agent.trace_ = trace_;
-  agent_ = std::make_unique<HostAgent>(
-    agent, settings_.dataFolder_.empty() ? nullptr : &folder_, *this, traffic_);
+  agent_ = std::make_unique<HostAgent>(context_,
+                                       agent,
+                                       settings_.dataFolder_.empty() ? nullptr
+                                                                     : &folder_,
+                                       *this,
+                                       traffic_);
   agent_->onHosts_ = [this](const std::vector<wire::HostInfo>& aHosts) {
     hosts_ = aHosts;
     unlistedHosts_.clear();
@@ -253,6 +258,7 @@
   work_.reset();
   context_.stop();
   thread_.join();
+  agent_->Stop();
   storage::CloseDataFolder(folder_);
 }
 
@@ -452,7 +458,7 @@
       submitter_->OnRequest(aMessage.from(), aMessage.change_request());
       return;
     case Body::kChangeReply:
-      submitter_->OnReply(aMessage.change_reply());
+      submitter_->OnReply(aMessage.from(), aMessage.change_reply());
       return;
     case Body::kOperatorQuestion:
     case Body::kOperatorAnswer:
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -351,6 +351,14 @@
   }
 }
 
+void
+TrafficShard::OnHostReachable(const foundation::HostId& aHost)
+{
+  for (const auto& [name, owner] : owners_) {
+    owner->OnHostReachable(aHost);
+  }
+}
+
 void
 TrafficShard::SetRoutes(RoutingTablePointer aRoutes)
 {
--- a/packages/peer/internal/linkthreadreceive.cpp
+++ b/packages/peer/internal/linkthreadreceive.cpp
@@ -100,11 +100,15 @@
 void
 LinkThread::CheckBoot(Link& aLink, std::uint64_t aBoot)
 {
-  if (aBoot == aLink.boot_ || aBoot == aLink.formerBoot_) {
+  if (aBoot == aLink.boot_ || aLink.formerBoots_.contains(aBoot)) {
     return;
   }
-  aLink.formerBoot_ = std::exchange(aLink.boot_, aBoot);
-  if (aLink.formerBoot_ == 0 || !aLink.dealer_) {
+  const std::uint64_t former = std::exchange(aLink.boot_, aBoot);
+  if (former == 0) {
+    return;
+  }
+  aLink.formerBoots_.insert(former);
+  if (!aLink.dealer_) {
     return;
   }
   aLink.pings_ = {}; // the former start does not answer them
@@ -153,9 +157,9 @@
   const Instant now = SteadyNow();
   const Instant sentAt{ Duration(aPong.sent_at_us()) };
   // A pong for a ping from before a loss, or from a previous start of this
-  // host, does not reflect the current state of the link.
-  if (sentAt > now || now - sentAt > settings_.lostAfter_ ||
-      sentAt < aLink.openedAt_) {
+  // host, does not reflect the current state of the link. Its age does not
+  // count: a pong lies unread while this host is held up.
+  if (sentAt > now || sentAt < aLink.openedAt_) {
     return;
   }
   const Duration held(aPong.held_us());
