Review case 5: a fenced group never gets a primary again (RECOVER)

With sync_replicas = 1, all processes are killed once, and for 5 s from then on the primary is partitioned from 4 of 9 entry machines, the owners of the group among them. The leader fences the term, reads all three servers at the same position, prefers the old primary by its name, and waits for ever for a replica that reaches it. No request is served any more, long after the partition.

ChooseCandidate: with one_replica the wait for a replica that equals the old primary has no end, and a tie goes by name.

--- a/review/standins.py
+++ b/review/standins.py
@@ -117,6 +117,7 @@
         self.term_ = 1
         self.log_ = []  # of (term, item, data, query)
         self.deaf_ = False  # receives nothing from the primary
+        self.cutFrom_ = ()  # addresses of the machines that it is partitioned from
         self.applied_ = 0
         self.alive_ = True
         self.server_ = None
@@ -178,6 +179,8 @@
             self.service_.record_.write(f"server {self.name_}: refused '{line}'")
             writer.write(f"ERROR WRONGNODE {self.name_}\r\n".encode())
             return
+        if not await self.reaches(words[2]):
+            return
         await asyncio.sleep(self.service_.handshakeS_)
         writer.write(f"READY I {self.position(self.visible())}\r\n".encode())
         connection = Connection(self, next(self.service_.numbers_), words[2])
@@ -186,6 +189,8 @@
             line = raw[:-2].decode("latin-1")
             if line.startswith("TERMINATE"):
                 return
+            if not await self.reaches(words[2]):
+                return
             _, query, text = line.split(" ", 2)
             answer = await connection.run(query, text)
             position = self.position(self.visible())
@@ -195,6 +200,13 @@
             )
             await writer.drain()
 
+    async def reaches(self, who):
+        """False, after the time in which it is dropped, for one that is cut off."""
+        if not any(f"/{address}/" in who for address in self.cutFrom_):
+            return True
+        await asyncio.sleep(3)
+        return False
+
     async def beat(self, controls):
         """Sends heartbeats to one control node, the next one after a failure."""
         self.order_ = list(controls())
@@ -934,14 +946,14 @@
     deployment.record_.say(f"heartbeat with the id i-%FF%FE at {node.name_}: {status}")
 
 
-def run_case(main, folder, prepare=None):
+def run_case(main, folder, prepare=None, **layout):
     """Runs a case: exit 0 when the rule held, 1 when it broke, 2 otherwise."""
     record = Record(os.path.join(folder, "record.txt"))
     deployment = None
 
     async def run():
         nonlocal deployment
-        deployment = Deployment(record)
+        deployment = Deployment(record, **layout)
         if prepare:
             prepare(deployment)
         try:
