--- a/review/standins.py
+++ b/review/standins.py
@@ -953,18 +953,20 @@
 
     async def run():
         nonlocal deployment
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         deployment = Deployment(record, **layout)
         if prepare:
             prepare(deployment)
         try:
-            await deployment.start()
-            return await asyncio.wait_for(main(deployment), 100)
+            await asyncio.wait_for(deployment.start(), 20)
+            return await asyncio.wait_for(main(deployment), 95)
         finally:
             await deployment.stop(keep=bool(os.environ.get("KEEP")))
 
     try:
         code = asyncio.run(run())
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError) as error:
         record.say(f"the case could not run: {type(error).__name__} {error}")
         code = 2
     record.say({0: "the rule held", 1: "THE RULE WAS BROKEN"}.get(code, "not run"))
