--- a/apps/wigeonlbd/control/changesubmitter.cpp
+++ b/apps/wigeonlbd/control/changesubmitter.cpp
@@ -4,6 +4,7 @@
 
 #include "core/configuration/changeticket.h"
 #include "core/consensus/memberplan.h"
+#include "wire/textfields.h"
 
 namespace wigeonlb::daemon::control {
 
@@ -31,6 +32,12 @@
 void
 ChangeSubmitter::Submit(wire::ConfigurationChange aChange, ChangeDone aDone)
 {
+  if (!wire::HasValidText(aChange)) {
+    ChangeAnswer answer{ ChangeOutcome::Decided, {} };
+    answer.result_.set_message("the change contains text that is not UTF-8");
+    aDone(answer);
+    return;
+  }
   const std::uint64_t request = nextRequest_++;
   Pending& pending = pending_[request];
   pending.change_ = std::move(aChange);
--- a/packages/core/consensus/consensus.cpp
+++ b/packages/core/consensus/consensus.cpp
@@ -9,6 +9,7 @@
 #include "core/consensus/internal/replication.h"
 #include "core/consensus/internal/snapshottransfer.h"
 #include "core/consensus/internal/stepcontext.h"
+#include "wire/textfields.h"
 
 namespace wigeonlb::core::consensus {
 
@@ -148,6 +149,10 @@
   if (state.role_ != Role::Leader) {
     return refuse(ProposalOutcome::NotLeader);
   }
+  // The followers could not read it, nor this member after a restart.
+  if (!wire::HasValidText(aEvent.record_)) {
+    return refuse(ProposalOutcome::Refused);
+  }
   wire::ControlRecord record = aEvent.record_;
   if (record.has_members()) {
     if (!IsValidChange(state, record.members(), aContext.now_)) {
--- a/packages/storage/memberstore.cpp
+++ b/packages/storage/memberstore.cpp
@@ -147,6 +147,32 @@
   return true;
 }
 
+//! Parses a record whose checksum is right. An entry with content that can't be
+//! read, such as text that isn't UTF-8, is kept without that content: it then
+//! changes nothing, at any member that holds it, and the log stays usable.
+bool
+ParseRecord(const LogRecord& aRecord,
+            wire::MemberRecord& aParsed,
+            foundation::Findings& aFindings)
+{
+  if (aParsed.ParseFromString(aRecord.bytes_)) {
+    return true;
+  }
+  wire::EntryRecordHeader header;
+  if (!header.ParseFromString(aRecord.bytes_) || header.entry().index() == 0) {
+    return false;
+  }
+  aParsed.Clear();
+  aParsed.mutable_entry()->set_index(header.entry().index());
+  aParsed.mutable_entry()->set_term(header.entry().term());
+  foundation::AddFinding(aFindings,
+                         "record " + std::to_string(aRecord.sequence_),
+                         "the content of entry " +
+                           std::to_string(header.entry().index()) +
+                           " can't be read and is ignored");
+  return true;
+}
+
 } // namespace
 
 std::error_code
@@ -171,7 +197,7 @@
   for (const LogRecord& record : records) {
     wire::MemberRecord parsed;
     const bool entriesValid = record.sequence_ >= snapshot.firstSequence_;
-    if (!parsed.ParseFromString(record.bytes_) ||
+    if (!ParseRecord(record, parsed, aFindings) ||
         !Replay(parsed, entriesValid, aImage)) {
       foundation::AddFinding(aFindings,
                              aFolder.path_ + " record " +
--- a/packages/storage/tests/memberstore_tests.cpp
+++ b/packages/storage/tests/memberstore_tests.cpp
@@ -61,6 +61,27 @@
 
 } // namespace
 
+// Guards against one entry that stops the member at each start.
+TEST_CASE("an entry that can't be read is kept without its content",
+          "[storage]")
+{
+  Fixture fixture;
+  REQUIRE_FALSE(Open(fixture));
+  wire::ConsensusEntry unreadable = Entry(2, 4);
+  unreadable.mutable_record()->mutable_change()->set_change_id("\xFF\xFE");
+  const wire::ConsensusEntry entries[] = { Entry(1, 4),
+                                           unreadable,
+                                           Entry(3, 4) };
+  REQUIRE_FALSE(Save(fixture.store_, MakeHardState(4), 0, entries));
+  REQUIRE_FALSE(Open(fixture));
+  REQUIRE(fixture.image_.entries_.size() == 3);
+  CHECK(fixture.findings_.size() == 1);
+  CHECK(fixture.image_.entries_[1].index() == 2);
+  CHECK(fixture.image_.entries_[1].term() == 4);
+  CHECK_FALSE(fixture.image_.entries_[1].has_record());
+  CHECK(fixture.image_.entries_[2].record().change().change_id() == "3/4");
+}
+
 TEST_CASE("an incomplete last record is truncated and reported", "[storage]")
 {
   Fixture fixture;
