--- a/packages/announcements/announcement.cpp
+++ b/packages/announcements/announcement.cpp
@@ -1,13 +1,14 @@
 #include "announcements/announcement.h"
 
 #include <algorithm>
-#include <charconv>
 #include <limits>
 #include <string>
 
 #include <google/protobuf/descriptor.h>
 #include <nlohmann/json.hpp>
 
+#include "foundation/networkaddress.h"
+
 namespace wigeonlb::announcements {
 
 using foundation::AddFinding;
@@ -86,21 +87,6 @@
   }
 }
 
-bool
-IsAddress(std::string_view aText)
-{
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string_view::npos || colon == 0) {
-    return false;
-  }
-  const std::string_view port = aText.substr(colon + 1);
-  unsigned number = 0;
-  const auto [end, error] =
-    std::from_chars(port.data(), port.data() + port.size(), number);
-  return error == std::errc() && end == port.data() + port.size() &&
-         number > 0 && number <= std::numeric_limits<std::uint16_t>::max();
-}
-
 bool
 HasFinding(const Findings& aFindings, std::string_view aPointer)
 {
@@ -133,7 +119,9 @@
   check("/group", !aResult.group().empty(), "must not be empty");
   check("/target", !aResult.target().empty(), "must not be empty");
   check("/data_centre", !aResult.data_centre().empty(), "must not be empty");
-  check("/address", IsAddress(aResult.address()), "expected host:port");
+  check("/address",
+        foundation::IsNetworkAddress(aResult.address()),
+        "expected host:port");
   check("/slots", aResult.slots() > 0, "must be at least 1");
   check(
     "/connection_limit", aResult.connection_limit() > 0, "must be at least 1");
