--- a/apps/wigeonlbd/control/changesubmitter.cpp
+++ b/apps/wigeonlbd/control/changesubmitter.cpp
@@ -19,10 +19,12 @@
 } // namespace
 
 ChangeSubmitter::ChangeSubmitter(foundation::HostId aSelf,
+                                 std::uint64_t aBoot,
                                  std::vector<foundation::HostId> aMembers,
                                  ConsensusMember* aMember,
                                  PeerPort& aPort)
   : self_(std::move(aSelf))
+  , boot_(aBoot)
   , members_(std::move(aMembers))
   , member_(aMember)
   , port_(aPort)
@@ -98,6 +100,7 @@
   wire::PeerMessage message;
   auto& request = *message.mutable_change_request();
   request.set_request(aRequest);
+  request.set_boot(boot_);
   *request.mutable_change() = aPending.change_;
   if (aPending.ticket_) {
     ++aPending.unresolved_;
@@ -146,7 +149,9 @@
 ChangeSubmitter::OnRequest(const foundation::HostId& aFrom,
                            const wire::ChangeRequest& aRequest)
 {
-  const Requester requester{ aFrom, aRequest.request(), aRequest.has_ticket() };
+  const Requester requester{
+    aFrom, aRequest.boot(), aRequest.request(), aRequest.has_ticket()
+  };
   // An isolated leader considers itself the leader for some time after its
   // lease has expired. A change proposed then would end with outcome unknown.
   const bool leads =
@@ -198,6 +203,7 @@
   auto& request = *message.mutable_change_request();
   request = aRequest;
   request.set_request(number);
+  request.set_boot(boot_);
   // Members that disagree about the leader must not send it in circles.
   request.set_relay(false);
   port_.SendControl(leader, std::move(message));
@@ -252,6 +258,7 @@
   wire::PeerMessage message;
   *message.mutable_change_reply() = aReply;
   message.mutable_change_reply()->set_request(aRequester.request_);
+  message.mutable_change_reply()->set_boot(aRequester.boot_);
   message.mutable_change_reply()->set_had_ticket(aRequester.hadTicket_);
   port_.SendControl(aRequester.host_, std::move(message));
 }
@@ -263,7 +270,7 @@
                                const wire::ChangeReply& aReply,
                                Pending& aPending)
 {
-  if (aReply.had_ticket()) {
+  if (aReply.had_ticket() && aPending.unresolved_ > 0) {
     --aPending.unresolved_;
   }
   if (aReply.has_ticket()) {
@@ -276,6 +283,10 @@
 ChangeSubmitter::OnReply(const foundation::HostId& aFrom,
                          const wire::ChangeReply& aReply)
 {
+  // The answer to a former start would be taken for that of another request.
+  if (aReply.boot() != 0 && aReply.boot() != boot_) {
+    return;
+  }
   const auto relayed = relayed_.find(aReply.request());
   if (relayed != relayed_.end()) {
     const Requester requester = relayed->second.requester_;
--- a/apps/wigeonlbd/control/changesubmitter.h
+++ b/apps/wigeonlbd/control/changesubmitter.h
@@ -40,8 +40,10 @@
 class ChangeSubmitter
 {
 public:
-  //! aMember is null on hosts that are not control members.
+  //! aBoot identifies this start of the host: the numbers of requests begin
+  //! again at each one. aMember is null on hosts that are not control members.
   ChangeSubmitter(foundation::HostId aSelf,
+                  std::uint64_t aBoot,
                   std::vector<foundation::HostId> aMembers,
                   ConsensusMember* aMember,
                   PeerPort& aPort);
@@ -81,6 +83,7 @@
   struct Requester
   {
     foundation::HostId host_;
+    std::uint64_t boot_ = 0; //!< start that numbered the request
     std::uint64_t request_ = 0;
     bool hadTicket_ = false;
   };
@@ -108,6 +111,7 @@
   foundation::HostId ChooseMember(const Pending& aPending) const;
 
   foundation::HostId self_;
+  std::uint64_t boot_;
   std::vector<foundation::HostId> members_;
   std::size_t minVoters_ = 0;
   ConsensusMember* member_;
--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -157,7 +157,7 @@
     }
   }
   submitter_ = std::make_unique<ChangeSubmitter>(
-    settings_.hostId_, ListMemberNames(settings_), member_.get(), *this);
+    settings_.hostId_, boot_, ListMemberNames(settings_), member_.get(), *this);
   if (!settings_.controlSeeds_.empty()) {
     submitter_->SetMinVoters(GetWantedVoterCount());
   }
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -61,6 +61,8 @@
   void PostReleaseAll(std::function<void()> aDone);
 
   boost::asio::io_context& Context() { return context_; }
+  //! Identifies this start of the host.
+  std::uint64_t Boot() const { return boot_; }
   const foundation::HostId& HostName() const { return settings_.hostId_; }
 
   //! Submits an operator's change. An accepted change is answered once it is in
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -88,6 +88,9 @@
     lastLeaderContact_ = SteadyNow();
     noLeaderSinceStart_ = false;
     ApplyUnusable(aReply);
+  if (!grants::IsForThisStart(holder_, aReply)) {
+    return;
+  }
   }
   ApplyMembers(aReply);
   Feed(grants::ReplyReceived{ aReply });
--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -110,6 +110,7 @@
   if (!leading_ || !member_.HoldsLease()) {
     if (!aHeartbeat.relay() || !Relay(aHeartbeat)) {
       AnswerAsFollower({ aHeartbeat.sender().host(),
+                         aHeartbeat.sender().boot(),
                          aHeartbeat.sequence(),
                          aHeartbeat.sent_at_us(),
                          received });
@@ -169,6 +170,7 @@
 {
   wire::PeerMessage message;
   wire::HeartbeatReply& reply = *message.mutable_heartbeat_reply();
+  reply.set_boot(aWaiter.boot_);
   reply.set_sequence(aWaiter.sequence_);
   reply.set_sent_at_us(aWaiter.sentAtUs_);
   auto whole = AddConfiguration(aWaiter.host_, reply);
--- a/apps/wigeonlbd/operations/operations.cpp
+++ b/apps/wigeonlbd/operations/operations.cpp
@@ -57,7 +57,7 @@
   : control_(aControl)
   , traffic_(aTraffic)
   , registry_(aRegistry)
-  , questions_(aControl.Context(), aControl)
+  , questions_(aControl.Context(), aControl.Boot(), aControl)
 {
   control_.SetOperatorMessageHandler([this](const wire::PeerMessage& aMessage) {
     if (aMessage.has_operator_question()) {
@@ -207,15 +207,17 @@
 Operations::OnQuestion(const foundation::HostId& aFrom,
                        const wire::OperatorQuestion& aQuestion)
 {
-  const auto answer = [this, aFrom, request = aQuestion.request()](
-                        const std::optional<Table>& aTable) {
-    wire::PeerMessage message;
-    if (aTable) {
-      *message.mutable_operator_answer() = ToOperatorAnswer(*aTable);
-    }
-    message.mutable_operator_answer()->set_request(request);
-    control_.SendControl(aFrom, std::move(message));
-  };
+  const auto answer =
+    [this, aFrom, request = aQuestion.request(), boot = aQuestion.boot()](
+      const std::optional<Table>& aTable) {
+      wire::PeerMessage message;
+      if (aTable) {
+        *message.mutable_operator_answer() = ToOperatorAnswer(*aTable);
+      }
+      message.mutable_operator_answer()->set_request(request);
+      message.mutable_operator_answer()->set_boot(boot);
+      control_.SendControl(aFrom, std::move(message));
+    };
   if (aQuestion.has_explain_read()) {
     ExplainLocally(ToStatement(aQuestion.explain_read()), answer);
   } else if (IsLeader(control_)) {
--- a/apps/wigeonlbd/operations/operatorquestions.cpp
+++ b/apps/wigeonlbd/operations/operatorquestions.cpp
@@ -3,8 +3,10 @@
 namespace wigeonlb::daemon::operations {
 
 OperatorQuestions::OperatorQuestions(boost::asio::io_context& aContext,
+                                     std::uint64_t aBoot,
                                      control::PeerPort& aPort)
   : context_(aContext)
+  , boot_(aBoot)
   , port_(aPort)
 {
 }
@@ -32,12 +34,16 @@
   wire::PeerMessage message;
   *message.mutable_operator_question() = std::move(aQuestion);
   message.mutable_operator_question()->set_request(request);
+  message.mutable_operator_question()->set_boot(boot_);
   port_.SendControl(aHost, std::move(message));
 }
 
 void
 OperatorQuestions::OnAnswer(const wire::OperatorAnswer& aAnswer)
 {
+  if (aAnswer.boot() != 0 && aAnswer.boot() != boot_) {
+    return;
+  }
   if (!aAnswer.answered()) {
     Complete(aAnswer.request(), std::nullopt);
     return;
--- a/apps/wigeonlbd/operations/operatorquestions.h
+++ b/apps/wigeonlbd/operations/operatorquestions.h
@@ -29,7 +29,10 @@
   //! that host can't answer.
   using Done = std::function<void(std::optional<operators::Table>)>;
 
+  //! aBoot identifies this start of the host: the numbers of questions begin
+  //! again at each one.
   OperatorQuestions(boost::asio::io_context& aContext,
+                    std::uint64_t aBoot,
                     control::PeerPort& aPort);
 
   //! Sends a question to a host. If the name is empty, calls aDone with nothing
@@ -37,7 +40,8 @@
   void Send(const foundation::HostId& aHost,
             wire::OperatorQuestion aQuestion,
             Done aDone);
-  //! Handles an answer; one to a question that is no longer pending is dropped.
+  //! Handles an answer; one to a question that is no longer pending, or of a
+  //! former start, is dropped.
   void OnAnswer(const wire::OperatorAnswer& aAnswer);
 
 private:
@@ -50,6 +54,7 @@
   void Complete(std::uint64_t aRequest, std::optional<operators::Table> aTable);
 
   boost::asio::io_context& context_;
+  std::uint64_t boot_;
   control::PeerPort& port_;
   std::uint64_t nextRequest_ = 1;
   std::map<std::uint64_t, PendingQuestion> pending_;
--- a/apps/wigeonlbd/tests/changesubmitter_tests.cpp
+++ b/apps/wigeonlbd/tests/changesubmitter_tests.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::seconds kWaitLimitSeconds{ 20 };
 constexpr std::chrono::milliseconds kTickMs{ 2 };
 
+constexpr std::uint64_t kBoot = 7;
+
 const std::vector<foundation::HostId> kMembers{ "a", "b", "c" };
 //! A host that is not a control member.
 const foundation::HostId kOther = "h";
@@ -81,7 +83,7 @@
     AddHost(kOther);
     for (auto& [name, host] : hosts_) {
       host.submitter_ = std::make_unique<ChangeSubmitter>(
-        name, kMembers, host.member_.get(), host.port_);
+        name, kBoot, kMembers, host.member_.get(), host.port_);
     }
   }
 
@@ -250,6 +252,52 @@
   }
 }
 
+// Guards against a change that is acknowledged and never decided on.
+TEST_CASE("a reply to a request of a former start decides on nothing",
+          "[changesubmitter]")
+{
+  const auto [boot, decides] = GENERATE(table<std::uint64_t, bool>({
+    { kBoot - 1, false },
+    { kBoot, true },
+    { 0, true }, // of a leader that does not tell it
+  }));
+  Network network;
+  Port port;
+  port.network_ = &network;
+  port.self_ = kOther;
+  ChangeSubmitter submitter(kOther, kBoot, kMembers, nullptr, port);
+  std::optional<ChangeAnswer> answer;
+  submitter.Submit(MakeChange(),
+                   [&](const ChangeAnswer& aAnswer) { answer = aAnswer; });
+  REQUIRE(network.envelopes_.size() == 1);
+  const auto& request = network.envelopes_.front().message_.change_request();
+  CHECK(request.boot() == kBoot);
+  wire::ChangeReply reply;
+  reply.set_request(request.request());
+  reply.set_boot(boot);
+  reply.set_decided(true);
+  reply.mutable_result()->set_accepted(true);
+  submitter.OnReply("a", reply);
+  CHECK(answer.has_value() == decides);
+}
+
+TEST_CASE("text that is not UTF-8 is refused in a change", "[changesubmitter]")
+{
+  Network network;
+  Port port;
+  port.network_ = &network;
+  ChangeSubmitter submitter(kOther, kBoot, kMembers, nullptr, port);
+  wire::ConfigurationChange change = MakeChange();
+  change.set_operator_name("\xFF\xFE");
+  std::optional<ChangeAnswer> answer;
+  submitter.Submit(change,
+                   [&](const ChangeAnswer& aAnswer) { answer = aAnswer; });
+  REQUIRE(answer);
+  CHECK(answer->outcome_ == ChangeOutcome::Decided);
+  CHECK_FALSE(answer->result_.accepted());
+  CHECK(network.envelopes_.empty());
+}
+
 TEST_CASE("a change that no member can bring to a leader is not decided",
           "[changesubmitter]")
 {
--- a/packages/core/failover/internal/heartbeatreply.cpp
+++ b/packages/core/failover/internal/heartbeatreply.cpp
@@ -135,6 +135,7 @@
 {
   wire::HeartbeatReply reply;
   reply.set_from(aSelf);
+  reply.set_boot(aHeartbeat.sender().boot());
   reply.set_sequence(aHeartbeat.sequence());
   reply.set_sent_at_us(aHeartbeat.sent_at_us());
   return reply;
--- a/packages/core/failover/tests/simulatedfleetmembers.cpp
+++ b/packages/core/failover/tests/simulatedfleetmembers.cpp
@@ -135,6 +135,7 @@
 {
   wire::HeartbeatReply reply;
   reply.set_sequence(aWaiter.sequence_);
+  reply.set_boot(aWaiter.boot_);
   reply.set_sent_at_us(aWaiter.sentAtUs_);
   reply.set_from(aMember.name_);
   reply.set_leader_hint(KnownLeader(aFleet, aMember));
@@ -300,10 +301,13 @@
     ++aMember.step_.messages_;
     Relay(aFleet, aMember, aHeartbeat);
   } else {
-    AnswerAsFollower(
-      aFleet,
-      aMember,
-      { host, aHeartbeat.sequence(), aHeartbeat.sent_at_us(), Now(aFleet) });
+    AnswerAsFollower(aFleet,
+                     aMember,
+                     { host,
+                       aHeartbeat.sender().boot(),
+                       aHeartbeat.sequence(),
+                       aHeartbeat.sent_at_us(),
+                       Now(aFleet) });
   }
   if (KnownLeader(aFleet, aMember).empty()) {
     grants::AddWaiter(aMember.waiters_, aHeartbeat, Now(aFleet));
--- a/packages/core/grants/holder.cpp
+++ b/packages/core/grants/holder.cpp
@@ -121,6 +121,9 @@
              Instant aNow,
              Actions& aActions)
 {
+  if (!IsForThisStart(aState, aReply)) {
+    return;
+  }
   // A member that knows no leader is treated as unresponsive: it may be cut off
   // together with other members that know none.
   const bool useful = aReply.leader() || !aReply.leader_hint().empty();
@@ -248,6 +251,12 @@
   SendDueHeartbeat(aState, aNow, aActions);
 }
 
+bool
+IsForThisStart(const HolderState& aState, const wire::HeartbeatReply& aReply)
+{
+  return aReply.boot() == 0 || aReply.boot() == aState.self_.boot();
+}
+
 Instant
 NextDue(const HolderState& aState)
 {
--- a/packages/core/grants/holder.h
+++ b/packages/core/grants/holder.h
@@ -232,6 +232,12 @@
      foundation::Instant aNow,
      std::vector<HolderAction>& aActions);
 
+//! Whether a reply is meant for this start of the host. The sequence of
+//! heartbeats begins again at each start, and a reply to a former one may
+//! arrive late: the grants in it are not this start's.
+bool
+IsForThisStart(const HolderState& aState, const wire::HeartbeatReply& aReply);
+
 //! Returns when the next Tick is due: when a heartbeat is due, the followed
 //! member times out, or a grant or its drain ends.
 foundation::Instant
--- a/packages/core/grants/leaderwaiters.cpp
+++ b/packages/core/grants/leaderwaiters.cpp
@@ -10,9 +10,11 @@
           foundation::Instant aNow)
 {
   const auto& host = aHeartbeat.sender().host();
-  aWaiters.byHost_[host] = {
-    host, aHeartbeat.sequence(), aHeartbeat.sent_at_us(), aNow
-  };
+  aWaiters.byHost_[host] = { host,
+                             aHeartbeat.sender().boot(),
+                             aHeartbeat.sequence(),
+                             aHeartbeat.sent_at_us(),
+                             aNow };
 }
 
 std::vector<LeaderWaiter>
--- a/packages/core/grants/leaderwaiters.h
+++ b/packages/core/grants/leaderwaiters.h
@@ -20,6 +20,7 @@
 struct LeaderWaiter
 {
   foundation::HostId host_;
+  std::uint64_t boot_ = 0; //!< start of the host that numbered the heartbeat
   std::uint64_t sequence_ = 0;
   std::uint64_t sentAtUs_ = 0; //!< on the host's own clock
   foundation::Instant receivedAt_;
