--- a/packages/core/failover/internal/candidates.cpp
+++ b/packages/core/failover/internal/candidates.cpp
@@ -105,6 +105,24 @@
   return aCandidates;
 }
 
+//! Leaves out, as far as others remain, candidates whose promotion failed, that
+//! have diverged, or that leave.
+std::vector<Candidate>
+KeepPromising(const GroupContext& aContext, std::vector<Candidate> aCandidates)
+{
+  aCandidates =
+    KeepPreferred(std::move(aCandidates), [&](const Candidate& aCandidate) {
+      return FindFailure(aContext, aCandidate) == nullptr;
+    });
+  aCandidates =
+    KeepPreferred(std::move(aCandidates), [&](const Candidate& aCandidate) {
+      return !positions::IsDiverged(*aCandidate.report_, aContext.group_);
+    });
+  return KeepPreferred(std::move(aCandidates), [](const Candidate& aCandidate) {
+    return !aCandidate.target_->leaving();
+  });
+}
+
 bool
 IsPlanned(const wire::GroupState& aGroup)
 {
@@ -129,42 +147,73 @@
   return best;
 }
 
-//! True when the reads cover every write that at least one replica has synced:
-//! the primary was read, or all other counted targets were.
 bool
-CoversOneReplicaWrites(const GroupContext& aContext,
-                       const std::vector<Candidate>& aCandidates)
+IsPrimary(const GroupContext& aContext, const Candidate& aCandidate)
 {
+  return aCandidate.target_->target() == aContext.group_.primary();
+}
+
+//! The highest position that a write acknowledged by `one_replica` can have;
+//! empty while the reads don't tell. Such a write is in the log of the primary
+//! and in that of another counted target: it is not beyond the primary's end,
+//! and not beyond the last of all the others.
+std::optional<LogPosition>
+FindAcknowledgedBound(const GroupContext& aContext,
+                      const std::vector<Candidate>& aCandidates)
+{
+  std::optional<LogPosition> ofPrimary;
+  LogPosition ofOthers;
+  std::size_t othersRead = 0;
+  for (const Candidate& candidate : aCandidates) {
+    if (IsPrimary(aContext, candidate)) {
+      ofPrimary = candidate.position_;
+    } else {
+      ofOthers = std::max(ofOthers, candidate.position_);
+      ++othersRead;
+    }
+  }
   const auto& group = aContext.group_;
-  const auto isPrimary = [&](const Candidate& aCandidate) {
-    return aCandidate.target_->target() == group.primary();
-  };
   const auto others =
     std::ranges::count_if(group.targets(), [&](const auto& aTarget) {
       return aTarget.counted() && aTarget.target() != group.primary();
     });
-  return std::ranges::any_of(aCandidates, isPrimary) ||
-         std::ssize(aCandidates) == others;
+  if (othersRead < static_cast<std::size_t>(others)) {
+    return ofPrimary;
+  }
+  return ofPrimary ? std::min(*ofPrimary, ofOthers) : ofOthers;
+}
+
+//! The candidates whose log holds every write that one replica has received.
+//! Preferences choose only among these.
+std::vector<Candidate>
+FilterByOneReplica(const GroupContext& aContext,
+                   const std::vector<Candidate>& aCandidates)
+{
+  const auto bound = FindAcknowledgedBound(aContext, aCandidates);
+  std::vector<Candidate> safe;
+  std::ranges::copy_if(
+    aCandidates, std::back_inserter(safe), [&](const Candidate& aCandidate) {
+      return bound && aCandidate.position_ >= *bound;
+    });
+  return safe;
 }
 
-//! The candidates that may be promoted without majority acknowledgement; the
-//! one with the longest log is chosen later. Empty when there is only the old
-//! primary, as promoting it would not start a new term, and with `one_replica`
-//! while the reads do not cover every acknowledged write.
+//! The candidates that may be promoted without majority acknowledgement. Empty
+//! when there is only the old primary, as promoting it would not start a new
+//! term. With `primary`, a client can't rely on any of them: the one with the
+//! longest log is chosen later.
 std::vector<Candidate>
 GetCandidatesWithoutMajority(const GroupContext& aContext,
                              const std::vector<Candidate>& aCandidates)
 {
   const bool strict =
     GetAcknowledgement(aContext.group_) == Acknowledgement::OneReplica;
-  if (strict && !CoversOneReplicaWrites(aContext, aCandidates)) {
-    return {};
-  }
+  auto safe = strict ? FilterByOneReplica(aContext, aCandidates) : aCandidates;
   const bool others =
-    std::ranges::any_of(aCandidates, [&](const Candidate& aCandidate) {
-      return aCandidate.target_->target() != aContext.group_.primary();
+    std::ranges::any_of(safe, [&](const Candidate& aCandidate) {
+      return !IsPrimary(aContext, aCandidate);
     });
-  return others ? aCandidates : std::vector<Candidate>{};
+  return others ? std::move(safe) : std::vector<Candidate>{};
 }
 
 } // namespace
@@ -225,41 +274,39 @@
                 const std::vector<Candidate>& aSafe)
 {
   const auto& group = aContext.group_;
+  const auto isOther = [&](const Candidate& aCandidate) {
+    return !IsPrimary(aContext, aCandidate);
+  };
   const auto hasFailed = [&](const Candidate& aCandidate) {
     return FindFailure(aContext, aCandidate) != nullptr;
   };
-  if (std::ranges::all_of(aSafe, hasFailed)) {
-    return *std::ranges::min_element(aSafe, {}, [&](const auto& aCandidate) {
-      return FindFailure(aContext, aCandidate)->at_;
-    });
+  auto promotable = aSafe;
+  if (GetAcknowledgement(group) != Acknowledgement::Majority) {
+    std::erase_if(promotable, std::not_fn(isOther));
   }
-  auto candidates = KeepPreferred(aSafe, std::not_fn(hasFailed));
-  candidates =
-    KeepPreferred(std::move(candidates), [&](const auto& aCandidate) {
-      return !positions::IsDiverged(*aCandidate.report_, group);
-    });
-  candidates =
-    KeepPreferred(std::move(candidates), [&](const auto& aCandidate) {
-      return !aCandidate.target_->leaving();
-    });
-  const auto chosen = FindBestOrRequested(aContext, candidates);
+  if (std::ranges::all_of(promotable, hasFailed)) {
+    return *std::ranges::min_element(
+      promotable, {}, [&](const auto& aCandidate) {
+        return FindFailure(aContext, aCandidate)->at_;
+      });
+  }
+  const auto chosen =
+    FindBestOrRequested(aContext, KeepPromising(aContext, aSafe));
   const bool requested =
     IsPlanned(group) && chosen.target_->target() == group.requested_primary();
-  const auto isOther = [&](const Candidate& aCandidate) {
-    return aCandidate.target_->target() != group.primary();
-  };
   if (requested || (isOther(chosen) && !IsPlanned(group))) {
     return chosen;
   }
-  const bool strict = GetAcknowledgement(group) == Acknowledgement::OneReplica;
   const auto* primary = positions::FindTarget(group, group.primary());
   const bool leaves = primary != nullptr && primary->leaving();
   const auto wait =
     leaves || IsPlanned(group) ? kPlannedCatchUpWaitMs : kCatchUpWaitMs;
-  if (strict || aContext.now_ - *aContext.progress_.safeSince_ < wait) {
+  if (aContext.now_ - *aContext.progress_.safeSince_ < wait) {
     return std::nullopt;
   }
-  return FindBest(aContext, KeepPreferred(std::move(candidates), isOther));
+  return FindBest(
+    aContext,
+    KeepPreferred(KeepPromising(aContext, std::move(promotable)), isOther));
 }
 
 } // namespace wigeonlb::core::failover
--- a/packages/core/failover/internal/candidates.h
+++ b/packages/core/failover/internal/candidates.h
@@ -26,8 +26,9 @@
 //! acknowledged a write and one that was read. A candidate that is not below
 //! any member of a majority therefore holds every acknowledged write. The
 //! primary of the term in force holds them without a comparison with other
-//! targets. Without majority acknowledgement, these are the candidates that can
-//! be promoted.
+//! targets. With `one_replica`, a candidate is safe when its log reaches as far
+//! as the reads show that an acknowledged write can. With `primary`, these are
+//! the candidates that can be promoted.
 std::vector<Candidate>
 FilterSafeCandidates(const GroupContext& aContext,
                      const std::vector<Candidate>& aCandidates);
@@ -37,10 +38,11 @@
 FindFailure(const GroupContext& aContext, const Candidate& aCandidate);
 
 //! Chooses the candidate to promote from the safe ones. Empty while a replica
-//! should catch up first. Candidates without a failed promotion are preferred
-//! to those with one, candidates on the confirmed history to diverged ones, and
-//! other targets to the old primary. When the promotion of all has failed, the
-//! one whose failure is longest ago is chosen.
+//! should catch up first, which is waited for only for a limited time.
+//! Candidates without a failed promotion are preferred to those with one,
+//! candidates on the confirmed history to diverged ones, and other targets to
+//! the old primary. When the promotion of all has failed, the one whose failure
+//! is longest ago is chosen.
 std::optional<Candidate>
 ChooseCandidate(const GroupContext& aContext,
                 const std::vector<Candidate>& aSafe);
--- a/packages/core/failover/internal/promotion.cpp
+++ b/packages/core/failover/internal/promotion.cpp
@@ -259,6 +259,15 @@
   return unreachable || aContext.now_ - *progress.promotionSince_ >= deadline;
 }
 
+//! Describes why no target is certain to hold every write that one replica has
+//! received.
+std::string
+DescribeMissingReplica(std::size_t aCandidates)
+{
+  return "no replica is sure to hold every acknowledged write: " +
+         std::to_string(aCandidates) + " targets answer and count";
+}
+
 //! Describes why no target is certain to hold every acknowledged write.
 std::string
 DescribeMissingMajority(const GroupContext& aContext, std::size_t aCandidates)
@@ -334,8 +343,12 @@
   const auto safe = FilterSafeCandidates(aContext, candidates);
   if (safe.empty()) {
     progress.safeSince_.reset();
+    const bool oneReplica =
+      GetAcknowledgement(aContext.group_) == Acknowledgement::OneReplica;
     SetWaitingReason(aContext,
-                     DescribeMissingMajority(aContext, candidates.size()));
+                     oneReplica
+                       ? DescribeMissingReplica(candidates.size())
+                       : DescribeMissingMajority(aContext, candidates.size()));
     return;
   }
   progress.safeSince_ = progress.safeSince_.value_or(aContext.now_);
--- /dev/null
+++ b/packages/core/failover/tests/singleleader.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/failover/failover.h"
+
+namespace wigeonlb::core::failover {
+
+//! A target with its answers to reads and promotion requests.
+struct Server
+{
+  std::uint64_t adopted_ = 2;
+  std::uint64_t offset_ = 0; //!< synced
+  bool primary_ = false;
+  bool answers_ = true;
+  bool refuses_ = false; //!< promotions
+  bool counted_ = true;
+  bool diverged_ = false; //!< as its status reports
+  bool leaving_ = false;
+};
+
+//! A single leader. The servers' answers are fed to it immediately.
+struct Leader
+{
+  std::map<std::string, Server> servers_;
+  std::string acknowledge_ = "majority";
+  wire::ControlState control_;
+  FailoverState state_;
+  foundation::Instant now_{ std::chrono::seconds(10) };
+  std::deque<FailoverEvent> events_;
+  std::uint64_t index_ = 0;
+  std::vector<std::string> chosen_;
+  foundation::Instant lastChosenAt_;
+};
+
+const wire::GroupState&
+GetGroup(const Leader& aLeader);
+
+//! Fences the group "g", with the primary "b" of term 2, and runs the leader
+//! for aWithin, or until a new primary is confirmed. Term 2 began at offset
+//! 100, after term 1 of "a".
+void
+RunFenced(Leader& aLeader, foundation::Duration aWithin);
+
+//! Runs on as RunFenced does.
+void
+Continue(Leader& aLeader, foundation::Duration aWithin);
+
+} // namespace wigeonlb::core::failover
