--- a/packages/core/consensus/consensus.h
+++ b/packages/core/consensus/consensus.h
@@ -93,6 +93,10 @@
 {
   std::uint64_t lastIndex_ = 0;
   std::uint64_t lastTerm_ = 0;
+  //! The leader that sends it, and its term: members serialize equal states
+  //! differently, so parts of two leaders don't fit together.
+  foundation::HostId from_;
+  std::uint64_t leaderTerm_ = 0;
   std::string bytes_;
 };
 
--- a/packages/core/consensus/internal/snapshottransfer.cpp
+++ b/packages/core/consensus/internal/snapshottransfer.cpp
@@ -26,19 +26,25 @@
 // next one.
 bool
 AppendSnapshotPart(ConsensusState& aState,
-                   const wire::SnapshotRequest& aRequest)
+                   const wire::ConsensusMessage& aMessage)
 {
+  const wire::SnapshotRequest& request = aMessage.snapshot_request();
   std::optional<IncomingSnapshot>& incoming = aState.incoming_;
-  const bool same = incoming && incoming->lastIndex_ == aRequest.last_index() &&
-                    incoming->lastTerm_ == aRequest.last_term();
+  const bool same = incoming && incoming->lastIndex_ == request.last_index() &&
+                    incoming->lastTerm_ == request.last_term() &&
+                    incoming->from_ == aMessage.from() &&
+                    incoming->leaderTerm_ == aMessage.term();
   if (!same) {
-    incoming =
-      IncomingSnapshot{ aRequest.last_index(), aRequest.last_term(), "" };
+    incoming = IncomingSnapshot{ request.last_index(),
+                                 request.last_term(),
+                                 aMessage.from(),
+                                 aMessage.term(),
+                                 "" };
   }
-  if (aRequest.offset() != incoming->bytes_.size()) {
+  if (request.offset() != incoming->bytes_.size()) {
     return false;
   }
-  incoming->bytes_ += aRequest.chunk();
+  incoming->bytes_ += request.chunk();
   return true;
 }
 
@@ -106,7 +112,7 @@
     Reply(aContext, aMessage, 0, request.last_index());
     return;
   }
-  if (!AppendSnapshotPart(state, request) || !request.done()) {
+  if (!AppendSnapshotPart(state, aMessage) || !request.done()) {
     Reply(aContext, aMessage, state.incoming_->bytes_.size(), 0);
     return;
   }
