--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -47,8 +47,10 @@
           storage::LoadHostMemory(*folder_, memory)) {
       return error;
     }
-    view_ = configuration::FromMemory(memory);
-    received_ = view_;
+    received_ = configuration::FromMemory(memory);
+    if (MayPutInForce()) {
+      view_ = received_;
+    }
     writer_ = std::make_unique<MemoryWriter>(
       context_,
       *folder_,
@@ -76,6 +78,9 @@
   if (!reachedLeader_ && !noLeaderSinceStart_ &&
       now - startedAt_ > kNoLeaderTimeoutMs) {
     noLeaderSinceStart_ = true;
+    if (received_.state_.revision() > view_.state_.revision()) {
+      UseReceived();
+    }
     Publish();
   }
 }
@@ -83,17 +88,34 @@
 void
 HostAgent::OnReply(const wire::HeartbeatReply& aReply)
 {
+  if (!grants::IsForThisStart(holder_, aReply)) {
+    return;
+  }
   if (aReply.leader()) {
     reachedLeader_ = true;
     lastLeaderContact_ = SteadyNow();
     noLeaderSinceStart_ = false;
     ApplyUnusable(aReply);
-  if (!grants::IsForThisStart(holder_, aReply)) {
-    return;
-  }
   }
   ApplyMembers(aReply);
   Feed(grants::ReplyReceived{ aReply });
+  ApplyConfirmation(aReply);
+}
+
+void
+HostAgent::ApplyConfirmation(const wire::HeartbeatReply& aReply)
+{
+  const bool confirms = aReply.confirmed() && aReply.revision() != 0 &&
+                        received_.state_.revision() >= aReply.revision();
+  if (confirmed_ || !confirms) {
+    return;
+  }
+  confirmed_ = true;
+  if (received_.state_.revision() > view_.state_.revision()) {
+    UseReceived();
+  } else {
+    Publish();
+  }
 }
 
 //! Heartbeats still go to the hosts named in the settings as well: they may
@@ -289,9 +311,14 @@
   const configuration::ViewChange change =
     configuration::ApplyReply(received_, aAction.reply_);
   view_.highestRevisionSeen_ = received_.highestRevisionSeen_;
-  if (!change.changed_) {
-    return;
+  if (change.changed_ && MayPutInForce()) {
+    UseReceived();
   }
+}
+
+void
+HostAgent::UseReceived()
+{
   if (writer_ != nullptr) {
     writer_->Save(received_);
   } else {
@@ -306,7 +333,8 @@
   foundation::LogChange(
     "agent",
     "configuration-in-force",
-    { { "revision", std::to_string(view_.state_.revision()) } });
+    { { "revision", std::to_string(view_.state_.revision()) },
+      { "confirmed", HasConfirmedConfiguration() ? "true" : "false" } });
   recording::RecordRevision(settings_.trace_, view_.state_.revision());
   Publish();
   Feed(grants::RevisionInForce{ view_.state_.revision() });
@@ -402,6 +430,7 @@
   auto table = std::make_shared<traffic::RoutingTable>();
   table->revision_ = view_.state_.revision();
   table->hasConfiguration_ = KnowsConfiguration();
+  table->isConfirmed_ = HasConfirmedConfiguration();
   for (const auto& [name, group] : view_.state_.groups()) {
     table->groups_.emplace(name, MakeRoute(group));
     if (view_.state_.databases().empty()) {
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -81,13 +81,20 @@
   //! Called with the live hosts whenever they change.
   std::function<void(const std::vector<wire::HostInfo>&)> onHosts_;
 
-  //! Whether this host has received a configuration or expects none. A name
-  //! that is unknown here is then unknown in the whole system.
+  //! Whether this host has a configuration in force or expects none.
   bool KnowsConfiguration() const
   {
     return !settings_.expectsConfiguration_ || view_.state_.revision() != 0;
   }
 
+  //! Whether a leader has confirmed the configuration since the start, or none
+  //! is expected. A name that is unknown here is then unknown in the whole
+  //! system.
+  bool HasConfirmedConfiguration() const
+  {
+    return !settings_.expectsConfiguration_ || confirmed_;
+  }
+
   //! Time of the last reply from a leader; the process's start if there was
   //! none.
   foundation::Instant GetLastLeaderContact() const
@@ -124,6 +131,18 @@
   void Execute(const core::grants::ConfigurationReceived& aAction);
   void Execute(const core::grants::HostsChanged& aAction);
 
+  //! Whether the configuration that was received last may be in force. One that
+  //! no leader has confirmed, as from a member that has just started itself or
+  //! from this host's disk, may lack acknowledged changes: it is used only by a
+  //! host that finds no leader.
+  bool MayPutInForce() const
+  {
+    return HasConfirmedConfiguration() || noLeaderSinceStart_;
+  }
+  //! Stores the configuration that was received last, then puts it in force.
+  void UseReceived();
+  //! Notes that a leader has confirmed the configuration received last.
+  void ApplyConfirmation(const wire::HeartbeatReply& aReply);
   void PutInForce(const core::configuration::ConfigurationView& aView);
   void ApplyMembers(const wire::HeartbeatReply& aReply);
   void ApplyUnusable(const wire::HeartbeatReply& aReply);
@@ -142,9 +161,11 @@
   foundation::Instant lastLeaderContact_ = startedAt_;
   bool reachedLeader_ = false;
   bool noLeaderSinceStart_ = false;
+  bool confirmed_ = false; //!< by a leader, since the start
   core::configuration::ConfigurationView view_; //!< in force
   //! The newest configuration. Not in force until it is saved, so that the
-  //! revision in force does not go back when the process is killed.
+  //! revision in force does not go back when the process is killed, nor while
+  //! MayPutInForce is false.
   core::configuration::ConfigurationView received_;
   std::unique_ptr<MemoryWriter> writer_; //!< null without a data folder
   core::membership::MembershipState announced_;
--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -218,6 +218,8 @@
   wire::PeerMessage message;
   *message.mutable_heartbeat_reply() = std::move(configuration);
   message.mutable_heartbeat_reply()->set_from(self_);
+  message.mutable_heartbeat_reply()->set_boot(aReply.boot());
+  message.mutable_heartbeat_reply()->set_confirmed(aReply.confirmed());
   return message;
 }
 
@@ -310,6 +312,7 @@
   wire::PeerMessage message;
   wire::HeartbeatReply& reply = *message.mutable_heartbeat_reply();
   reply = std::move(aAction.reply_);
+  reply.set_confirmed(true);
   auto whole = AddConfiguration(aAction.host_, reply);
   AddMembers(aAction.host_, reply);
   SendReply(aAction.host_, std::move(message));
--- a/apps/wigeonlbd/tests/hostagent_tests.cpp
+++ b/apps/wigeonlbd/tests/hostagent_tests.cpp
@@ -1,5 +1,6 @@
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <catch2/catch.hpp>
@@ -143,8 +144,131 @@
   return memory.view().revision();
 }
 
+//! The agent of a host without a disk that expects a configuration.
+struct StartingHost
+{
+  foundation::MetricsRegistry registry_;
+  traffic::TrafficMetrics metrics_{ registry_ };
+  traffic::TrafficRuntime traffic_{
+    MakeDaemonSettings(), 1, metrics_, {}, {}, {}
+  };
+  NoPort port_;
+  boost::asio::io_context context_;
+  HostAgent agent_{ context_,
+                    MakeExpectingSettings(),
+                    nullptr,
+                    port_,
+                    traffic_ };
+
+  static HostAgentSettings MakeExpectingSettings()
+  {
+    HostAgentSettings settings = MakeSettings();
+    settings.expectsConfiguration_ = true;
+    return settings;
+  }
+};
+
+//! A reply with the whole configuration, or without a change if not whole_.
+struct Reply
+{
+  foundation::Revision revision_;
+  bool whole_;
+  bool confirmed_;
+};
+
+void
+Receive(StartingHost& aHost, const Reply& aReply)
+{
+  wire::HeartbeatReply reply;
+  reply.set_from("a");
+  reply.set_whole(aReply.whole_);
+  reply.set_revision(aReply.revision_);
+  reply.set_base_revision(aReply.whole_ ? 0 : aReply.revision_);
+  reply.set_confirmed(aReply.confirmed_);
+  aHost.agent_.OnReply(reply);
+}
+
 } // namespace
 
+// Guards against names that are refused by a configuration which lacks
+// acknowledged changes.
+TEST_CASE("a host begins with a configuration that a leader has confirmed",
+          "[hostagent]")
+{
+  struct Row
+  {
+    std::string_view what_;
+    std::vector<Reply> replies_;
+    foundation::Revision inForce_;
+    bool confirmed_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "of a leader", { { 570, true, true } }, 570, true },
+    { "of a member that has just started", { { 510, true, false } }, 0, false },
+    { "the member's, then the leader's",
+      { { 510, true, false }, { 570, true, true } },
+      570,
+      true },
+    { "the leader says that it is the newest",
+      { { 570, true, false }, { 570, false, true } },
+      570,
+      true },
+    { "the leader has a newer one, which is on its way",
+      { { 510, true, false }, { 570, false, true } },
+      0,
+      false },
+    { "a leader without a configuration", { { 0, false, true } }, 0, false },
+    { "a later one of a member, after the leader's",
+      { { 570, true, true }, { 571, true, false } },
+      571,
+      true },
+  }));
+  INFO(row.what_);
+  StartingHost host;
+  REQUIRE_FALSE(host.agent_.Start());
+  for (const Reply& reply : row.replies_) {
+    Receive(host, reply);
+  }
+  CHECK(host.agent_.View().state_.revision() == row.inForce_);
+  CHECK(host.agent_.KnowsConfiguration() == (row.inForce_ != 0));
+  CHECK(host.agent_.HasConfirmedConfiguration() == row.confirmed_);
+}
+
+TEST_CASE("a host that finds no leader begins with what members know",
+          "[hostagent]")
+{
+  StartingHost host;
+  REQUIRE_FALSE(host.agent_.Start());
+  Receive(host, { 510, true, false });
+  const auto end = foundation::SteadyNow() + 2 * kWaitLimitSeconds;
+  while (!host.agent_.KnowsConfiguration() && foundation::SteadyNow() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    host.agent_.OnTick();
+  }
+  CHECK(host.agent_.View().state_.revision() == 510);
+  // A name that it doesn't know may exist.
+  CHECK_FALSE(host.agent_.HasConfirmedConfiguration());
+  Receive(host, { 570, true, true });
+  CHECK(host.agent_.HasConfirmedConfiguration());
+}
+
+TEST_CASE("a reply to a former start of the host changes nothing",
+          "[hostagent]")
+{
+  StartingHost host;
+  REQUIRE_FALSE(host.agent_.Start());
+  wire::HeartbeatReply reply;
+  reply.set_from("a");
+  reply.set_leader(true);
+  reply.set_boot(1); // the present start has none in this test
+  reply.set_whole(true);
+  reply.set_revision(510);
+  reply.set_confirmed(true);
+  host.agent_.OnReply(reply);
+  CHECK_FALSE(host.agent_.HasReachedLeader());
+  CHECK_FALSE(host.agent_.KnowsConfiguration());
+}
+
 TEST_CASE("a slow disk delays a configuration but not the control thread",
           "[hostagent]")
 {
--- a/apps/wigeonlbd/tests/leaderdriver_tests.cpp
+++ b/apps/wigeonlbd/tests/leaderdriver_tests.cpp
@@ -70,6 +70,8 @@
   CHECK(first[1].whole());
   CHECK(first[1].groups_size() == 1);
   CHECK(first[1].revision() == revision);
+  CHECK(first[0].confirmed());
+  CHECK(first[1].confirmed());
   // It would be delayed with the byte budget, and must not look like an answer.
   CHECK_FALSE(first[1].leader());
   CHECK(first[1].leader_hint().empty());
@@ -84,4 +86,20 @@
   }
 }
 
+// Guards against a host that begins with the configuration of a member that has
+// just started itself.
+TEST_CASE("a member that does not lead confirms no configuration",
+          "[leaderdriver]")
+{
+  Fixture fixture;
+  for (const auto& reply : SendHeartbeat(fixture, 0)) {
+    CHECK_FALSE(reply.confirmed());
+  }
+  REQUIRE(WaitUntilReady(fixture.single_));
+  fixture.driver_.OnTick();
+  for (const auto& reply : SendHeartbeat(fixture, 0)) {
+    CHECK(reply.confirmed());
+  }
+}
+
 } // namespace wigeonlb::daemon::control
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -53,6 +53,14 @@
                       FormatRetryDelay(kNoOwnerRetryDelayMs) });
     return;
   }
+  if (Route() == nullptr && context_.routes_ != nullptr &&
+      !context_.routes_->isConfirmed_) {
+    caller_->Refuse({ "FATAL",
+                      std::string(sqlstates::kNotRun),
+                      "this host's configuration is not confirmed yet",
+                      FormatRetryDelay(kNoOwnerRetryDelayMs) });
+    return;
+  }
   if (Route() == nullptr) {
     caller_->Refuse({ "FATAL",
                       std::string(sqlstates::kUnknownGroup),
--- a/apps/wigeonlbd/traffic/routingtable.h
+++ b/apps/wigeonlbd/traffic/routingtable.h
@@ -47,9 +47,11 @@
 struct RoutingTable
 {
   foundation::Revision revision_ = 0;
-  //! False on a host that has not received its first configuration yet. A name
-  //! that is not found may then still exist.
+  //! False on a host that has no configuration in force yet.
   bool hasConfiguration_ = true;
+  //! False if the configuration may lack acknowledged changes. A name that is
+  //! not found may then exist.
+  bool isConfirmed_ = true;
   std::map<foundation::GroupName, GroupRoute, std::less<>> groups_;
   std::map<std::string, DatabaseRoute, std::less<>> databases_;
 };
