Consensus: messages that no member sends are dropped

One message of another process ended a member: a replicated log entry with a gap, the largest term or index, a reply to a request of the future that kept a lease alive, members without voters.

Change: internal/messagecheck decides before a message is handled.

--- a/packages/core/consensus/consensus.cpp
+++ b/packages/core/consensus/consensus.cpp
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "core/consensus/internal/election.h"
+#include "core/consensus/internal/messagecheck.h"
 #include "core/consensus/internal/recovery.h"
 #include "core/consensus/internal/replication.h"
 #include "core/consensus/internal/snapshottransfer.h"
@@ -93,7 +94,8 @@
 Handle(StepContext& aContext, const MessageReceived& aEvent)
 {
   const wire::ConsensusMessage& message = aEvent.message_;
-  if (message.to() != aContext.state_.settings_.self_) {
+  if (message.to() != aContext.state_.settings_.self_ ||
+      !IsWellFormed(aContext.state_, message, aContext.now_)) {
     return;
   }
   switch (message.body_case()) {
