--- a/testing/harness/replacement_tests.py
+++ b/testing/harness/replacement_tests.py
@@ -27,6 +27,9 @@
 INTERVAL_S = 6.0  # from one replacement to the next
 STOP_S = 6.0  # a control host that is stopped ends within this time
 
+MANY_CHANGES = 560  # more than the entries between two snapshots of a member
+RESTART_S = 10.0  # from a restart of all hosts to a configuration at each
+
 # The option that the changes set: above its default, and of no effect on the load.
 OPTION, FIRST_VALUE = "queue", 5000
 
@@ -293,6 +296,36 @@
     fleet.check()
 
 
+def test_no_host_begins_with_an_older_configuration(system):
+    """Guards against names that are refused after a restart of all, by what a
+    control member had in its last snapshot."""
+    fleet = Fleet(system, losses=1, controls=3)
+    for number in range(1, MANY_CHANGES + 1):
+        status, answer = fleet.entries[0].statement(
+            f"set group {GROUP} {OPTION} = {FIRST_VALUE + number}", f"many-{number}")
+        assert status == 200, answer
+    running = fleet.entries + fleet.controls()
+    seeds = fleet.seeds()
+    fleet.seeds = lambda: seeds
+    for host in running:
+        host.kill()
+    for host in running:
+        host.start()
+    view = Changer(fleet)  # never started: only looks
+    waiting = list(fleet.entries)
+    end = time.monotonic() + RESTART_S
+    while waiting and time.monotonic() < end:
+        for host in list(waiting):
+            newest = view.newest_at(host)
+            if newest == MANY_CHANGES:
+                waiting.remove(host)
+            elif newest:
+                fleet.violated(f"{host.name} begins with change {newest}")
+    for host in waiting:
+        fleet.violated(f"{host.name} has no configuration after {RESTART_S} s")
+    fleet.check()
+
+
 def test_every_control_host_is_replaced_in_turn(system):
     replace_all(system, losses=1, controls=4, count=1)
 
