HostAgent: what a host knows of the configuration is a state of its own

No change of behaviour. What was received, what is in force and what a leader has confirmed move from the agent into core/configuration, as a plain struct with free functions that are given the time.

--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "core/configuration/groupoptions.h"
-#include "core/grants/owners.h"
 #include "foundation/logging.h"
 #include "storage/memberstore.h"
 
@@ -36,6 +34,7 @@
       grants::MakeHolder(settings_.self_, settings_.members_, settings_.seed_))
 {
   hosts_.push_back(settings_.self_);
+  configuration_.expected_ = settings_.expectsConfiguration_;
 }
 
 std::error_code
@@ -47,9 +46,9 @@
           storage::LoadHostMemory(*folder_, memory)) {
       return error;
     }
-    received_ = configuration::FromMemory(memory);
-    if (MayPutInForce()) {
-      view_ = received_;
+    configuration_.received_ = configuration::FromMemory(memory);
+    if (configuration::MayPutInForce(configuration_)) {
+      configuration_.inForce_ = configuration_.received_;
     }
     writer_ = std::make_unique<MemoryWriter>(
       context_,
@@ -62,8 +61,8 @@
         }
         PutInForce(aView);
       });
-    Feed(grants::RevisionInForce{ view_.state_.revision() });
-    recording::RecordRevision(settings_.trace_, view_.state_.revision());
+    Feed(grants::RevisionInForce{ View().state_.revision() });
+    recording::RecordRevision(settings_.trace_, View().state_.revision());
   }
   Publish();
   return {};
@@ -75,10 +74,10 @@
   const foundation::Instant now = SteadyNow();
   core::membership::RemoveExpired(announced_, now);
   Feed(grants::Tick{});
-  if (!reachedLeader_ && !noLeaderSinceStart_ &&
+  if (!reachedLeader_ && !configuration_.noLeaderSinceStart_ &&
       now - startedAt_ > kNoLeaderTimeoutMs) {
-    noLeaderSinceStart_ = true;
-    if (received_.state_.revision() > view_.state_.revision()) {
+    configuration_.noLeaderSinceStart_ = true;
+    if (HasNewerThanInForce()) {
       UseReceived();
     }
     Publish();
@@ -94,7 +93,7 @@
   if (aReply.leader()) {
     reachedLeader_ = true;
     lastLeaderContact_ = SteadyNow();
-    noLeaderSinceStart_ = false;
+    configuration_.noLeaderSinceStart_ = false;
     ApplyUnusable(aReply);
   }
   ApplyMembers(aReply);
@@ -105,13 +104,11 @@
 void
 HostAgent::ApplyConfirmation(const wire::HeartbeatReply& aReply)
 {
-  const bool confirms = aReply.confirmed() && aReply.revision() != 0 &&
-                        received_.state_.revision() >= aReply.revision();
-  if (confirmed_ || !confirms) {
+  if (!configuration::ReceiveConfirmation(
+        configuration_, aReply, SteadyNow())) {
     return;
   }
-  confirmed_ = true;
-  if (received_.state_.revision() > view_.state_.revision()) {
+  if (HasNewerThanInForce()) {
     UseReceived();
   } else {
     Publish();
@@ -169,8 +166,8 @@
   }
   Feed(grants::AnnouncementReceived{ aAnnouncement });
   if (aAnnouncement.leaving()) {
-    const auto group = view_.state_.groups().find(aAnnouncement.group());
-    if (group != view_.state_.groups().end()) {
+    const auto group = View().state_.groups().find(aAnnouncement.group());
+    if (group != View().state_.groups().end()) {
       PublishGroup(group->second);
     }
   }
@@ -181,7 +178,7 @@
                            std::optional<std::uint64_t> aIncarnation)
 {
   std::vector<wire::Announcement> announcements;
-  for (const auto& [name, group] : view_.state_.groups()) {
+  for (const auto& [name, group] : View().state_.groups()) {
     const wire::TargetState* const target =
       configuration::FindTarget(group, aTarget);
     if (target == nullptr ||
@@ -308,10 +305,7 @@
 void
 HostAgent::Execute(const grants::ConfigurationReceived& aAction)
 {
-  const configuration::ViewChange change =
-    configuration::ApplyReply(received_, aAction.reply_);
-  view_.highestRevisionSeen_ = received_.highestRevisionSeen_;
-  if (change.changed_ && MayPutInForce()) {
+  if (configuration::ReceiveConfiguration(configuration_, aAction.reply_)) {
     UseReceived();
   }
 }
@@ -320,24 +314,24 @@
 HostAgent::UseReceived()
 {
   if (writer_ != nullptr) {
-    writer_->Save(received_);
+    writer_->Save(configuration_.received_);
   } else {
-    PutInForce(received_);
+    PutInForce(configuration_.received_);
   }
 }
 
 void
 HostAgent::PutInForce(const configuration::ConfigurationView& aView)
 {
-  view_.state_ = aView.state_;
+  configuration_.inForce_.state_ = aView.state_;
   foundation::LogChange(
     "agent",
     "configuration-in-force",
-    { { "revision", std::to_string(view_.state_.revision()) },
+    { { "revision", std::to_string(View().state_.revision()) },
       { "confirmed", HasConfirmedConfiguration() ? "true" : "false" } });
-  recording::RecordRevision(settings_.trace_, view_.state_.revision());
+  recording::RecordRevision(settings_.trace_, View().state_.revision());
   Publish();
-  Feed(grants::RevisionInForce{ view_.state_.revision() });
+  Feed(grants::RevisionInForce{ View().state_.revision() });
 }
 
 void
@@ -352,140 +346,4 @@
   Publish();
 }
 
-void
-HostAgent::ApplyUnusable(const wire::HeartbeatReply& aReply)
-{
-  std::set<std::pair<foundation::GroupName, foundation::TargetName>> unusable;
-  for (const wire::TargetKey& key : aReply.unusable()) {
-    unusable.emplace(key.group(), key.target());
-  }
-  if (unusable == unusable_) {
-    return;
-  }
-  unusable_ = std::move(unusable);
-  for (const auto& [name, group] : view_.state_.groups()) {
-    PublishGroup(group);
-  }
-}
-
-std::vector<foundation::HostId>
-HostAgent::ListOwners(const wire::GroupState& aGroup) const
-{
-  std::vector<foundation::HostId> owners =
-    grants::ChooseOwners(aGroup, hosts_, grants::GetOwnerCount(aGroup));
-  grants::SortOwnersForEntry(aGroup.group(), settings_.self_, hosts_, owners);
-  return owners;
-}
-
-bool
-HostAgent::IsUsable(const wire::GroupState& aGroup,
-                    const wire::TargetState& aTarget) const
-{
-  if (aTarget.draining() || aTarget.leaving() ||
-      unusable_.count({ aGroup.group(), aTarget.target() }) != 0) {
-    return false;
-  }
-  const core::membership::TargetEntry* const entry =
-    core::membership::FindTarget(announced_, aGroup.group(), aTarget.target());
-  return entry == nullptr || !entry->leaving_ ||
-         entry->incarnation_ != aTarget.incarnation();
-}
-
-traffic::GroupRoute
-HostAgent::MakeRoute(const wire::GroupState& aGroup) const
-{
-  traffic::GroupRoute route;
-  route.owners_ = ListOwners(aGroup);
-  const foundation::Duration maxAge =
-    configuration::OptionDuration(aGroup, "max_age");
-  if (maxAge > foundation::Duration::zero()) {
-    route.maxAge_ = maxAge;
-  }
-  route.readDeadline_ = configuration::OptionDuration(aGroup, "read_deadline");
-  route.writeDeadline_ =
-    configuration::OptionDuration(aGroup, "write_deadline");
-  route.requestKeys_ = !configuration::RequestKeyTable(aGroup).empty();
-  return route;
-}
-
-traffic::DatabaseRoute
-HostAgent::MakeRoute(const wire::DatabaseState& aDatabase)
-{
-  traffic::DatabaseRoute route;
-  route.group_ = aDatabase.group();
-  route.readPolicy_ = aDatabase.read_policy();
-  if (aDatabase.has_max_age_us()) {
-    route.maxAge_ = foundation::Duration(aDatabase.max_age_us());
-  }
-  route.statementTimeout_ =
-    foundation::Duration(aDatabase.statement_timeout_us());
-  route.latencyObjective_ = foundation::Duration(aDatabase.aim_us());
-  route.priority_ = aDatabase.priority();
-  return route;
-}
-
-void
-HostAgent::Publish()
-{
-  auto table = std::make_shared<traffic::RoutingTable>();
-  table->revision_ = view_.state_.revision();
-  table->hasConfiguration_ = KnowsConfiguration();
-  table->isConfirmed_ = HasConfirmedConfiguration();
-  for (const auto& [name, group] : view_.state_.groups()) {
-    table->groups_.emplace(name, MakeRoute(group));
-    if (view_.state_.databases().empty()) {
-      table->databases_.emplace(name, traffic::DatabaseRoute{ name });
-    }
-    PublishGroup(group);
-  }
-  for (const auto& [name, database] : view_.state_.databases()) {
-    table->databases_.emplace(name, MakeRoute(database));
-  }
-  for (auto name = owned_.begin(); name != owned_.end();) {
-    if (view_.state_.groups().count(*name) == 0) {
-      traffic_.DropGroup(*name);
-      published_.erase(*name);
-      name = owned_.erase(name);
-    } else {
-      ++name;
-    }
-  }
-  traffic_.SetRoutes(std::move(table));
-}
-
-void
-HostAgent::PublishGroup(const wire::GroupState& aGroup)
-{
-  const std::vector<foundation::HostId> owners = ListOwners(aGroup);
-  const bool isOwner =
-    !owners.empty() && owners.front() == settings_.self_.host();
-  if (!isOwner) {
-    if (owned_.erase(aGroup.group()) != 0) {
-      traffic_.DropGroup(aGroup.group());
-      published_.erase(aGroup.group());
-    }
-    return;
-  }
-  core::traffic::GroupChanged event;
-  event.group_ = aGroup;
-  event.owners_ = static_cast<std::uint32_t>(owners.size());
-  event.noLeaderSinceStart_ = noLeaderSinceStart_;
-  std::string fingerprint = std::to_string(aGroup.revision()) + " " +
-                            std::to_string(event.owners_) +
-                            (noLeaderSinceStart_ ? " no-leader" : "");
-  for (const wire::TargetState& target : aGroup.targets()) {
-    if (IsUsable(aGroup, target)) {
-      event.usable_.push_back(target.target());
-      fingerprint += " " + target.target();
-    }
-  }
-  std::string& published = published_[aGroup.group()];
-  if (published == fingerprint) {
-    return;
-  }
-  published = std::move(fingerprint);
-  owned_.insert(aGroup.group());
-  traffic_.ChangeGroup(std::move(event));
-}
-
 } // namespace wigeonlb::daemon::control
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -10,7 +10,7 @@
 
 #include "control/memorywriter.h"
 #include "control/peerport.h"
-#include "core/configuration/configurationview.h"
+#include "core/configuration/hostconfiguration.h"
 #include "core/grants/holder.h"
 #include "core/membership/membership.h"
 #include "recording/controltrace.h"
@@ -84,7 +84,7 @@
   //! Whether this host has a configuration in force or expects none.
   bool KnowsConfiguration() const
   {
-    return !settings_.expectsConfiguration_ || view_.state_.revision() != 0;
+    return !configuration_.expected_ || View().state_.revision() != 0;
   }
 
   //! Whether a leader has confirmed the configuration since the start, or none
@@ -92,7 +92,7 @@
   //! system.
   bool HasConfirmedConfiguration() const
   {
-    return !settings_.expectsConfiguration_ || confirmed_;
+    return !configuration_.expected_ || configuration_.confirmed_;
   }
 
   //! Time of the last reply from a leader; the process's start if there was
@@ -107,9 +107,16 @@
 
   //! Whether no leader replied within kNoLeaderTimeoutMs of the start, nor
   //! since.
-  bool HasNoLeaderSinceStart() const { return noLeaderSinceStart_; }
+  bool HasNoLeaderSinceStart() const
+  {
+    return configuration_.noLeaderSinceStart_;
+  }
 
-  const core::configuration::ConfigurationView& View() const { return view_; }
+  //! The configuration in force.
+  const core::configuration::ConfigurationView& View() const
+  {
+    return configuration_.inForce_;
+  }
   const core::grants::HolderState& Holder() const { return holder_; }
   const std::vector<wire::HostInfo>& Hosts() const { return hosts_; }
   const core::membership::MembershipState& Announced() const
@@ -131,17 +138,16 @@
   void Execute(const core::grants::ConfigurationReceived& aAction);
   void Execute(const core::grants::HostsChanged& aAction);
 
-  //! Whether the configuration that was received last may be in force. One that
-  //! no leader has confirmed, as from a member that has just started itself or
-  //! from this host's disk, may lack acknowledged changes: it is used only by a
-  //! host that finds no leader.
-  bool MayPutInForce() const
+  //! Whether a configuration was received that is not in force yet.
+  bool HasNewerThanInForce() const
   {
-    return HasConfirmedConfiguration() || noLeaderSinceStart_;
+    return configuration_.received_.state_.revision() >
+           View().state_.revision();
   }
   //! Stores the configuration that was received last, then puts it in force.
   void UseReceived();
-  //! Notes that a leader has confirmed the configuration received last.
+  //! Notes what a leader has confirmed, which may put the configuration
+  //! received last in force.
   void ApplyConfirmation(const wire::HeartbeatReply& aReply);
   void PutInForce(const core::configuration::ConfigurationView& aView);
   void ApplyMembers(const wire::HeartbeatReply& aReply);
@@ -160,13 +166,7 @@
   foundation::Instant startedAt_ = foundation::SteadyNow();
   foundation::Instant lastLeaderContact_ = startedAt_;
   bool reachedLeader_ = false;
-  bool noLeaderSinceStart_ = false;
-  bool confirmed_ = false; //!< by a leader, since the start
-  core::configuration::ConfigurationView view_; //!< in force
-  //! The newest configuration. Not in force until it is saved, so that the
-  //! revision in force does not go back when the process is killed, nor while
-  //! MayPutInForce is false.
-  core::configuration::ConfigurationView received_;
+  core::configuration::HostConfiguration configuration_;
   std::unique_ptr<MemoryWriter> writer_; //!< null without a data folder
   core::membership::MembershipState announced_;
   std::vector<wire::HostInfo> hosts_;
