--- a/apps/wigeonctl/explain.cpp
+++ b/apps/wigeonctl/explain.cpp
@@ -34,6 +34,16 @@
   "starting",
 };
 
+//! Events that show which configuration each host had, and since when.
+constexpr std::string_view kConfigurationEvents[] = {
+  "change-answered",        "change-decided",     "configuration-answered",
+  "configuration-in-force", "configuration-sent", "host-behind",
+  "host-caught-up",         "leader-changed",     "leading",
+  "leading-ended",          "starting",
+};
+
+constexpr std::string_view kSessionRefused = "session-refused";
+
 constexpr std::int64_t kMillisecondsPerSecond = 1000;
 
 std::optional<std::int64_t>
@@ -123,16 +133,26 @@
   std::set<std::string> hosts_;
   std::set<std::string> groups_;
   std::int64_t lastMs_ = 0;
+  bool isRefusedSession_ = false; //!< by the configuration in force
 };
 
+bool
+IsNamed(const LogLine& aLine, std::string_view aRequest)
+{
+  return GetField(aLine, "request") == aRequest ||
+         (aLine.event_ == kSessionRefused &&
+          GetField(aLine, "session") == aRequest);
+}
+
 RequestScope
 FindRequestScope(std::string_view aRequest, const std::vector<LogLine>& aLines)
 {
   RequestScope requestScope;
   for (const LogLine& line : aLines) {
-    if (GetField(line, "request") != aRequest) {
+    if (!IsNamed(line, aRequest)) {
       continue;
     }
+    requestScope.isRefusedSession_ |= line.event_ == kSessionRefused;
     requestScope.attempts_.insert(GetAttempt(line));
     requestScope.hosts_.insert(line.host_);
     requestScope.groups_.insert(GetField(line, "group"));
@@ -148,17 +168,33 @@
               std::string_view aRequest,
               const RequestScope& aScope)
 {
-  return GetField(aLine, "request") == aRequest ||
+  return IsNamed(aLine, aRequest) ||
          aScope.attempts_.contains(GetAttempt(aLine));
 }
 
 bool
-IsStateChange(const LogLine& aLine, const RequestScope& aScope)
+IsWithin(const LogLine& aLine,
+         const RequestScope& aScope,
+         foundation::Duration aWindow)
 {
   const std::int64_t ageMs = aScope.lastMs_ - aLine.atMs_;
+  return ageMs >= 0 && ageMs <= foundation::ToMilliseconds(aWindow);
+}
+
+bool
+IsConfigurationChange(const LogLine& aLine, const RequestScope& aScope)
+{
+  const bool isListed = std::ranges::find(kConfigurationEvents, aLine.event_) !=
+                        std::end(kConfigurationEvents);
+  return aScope.isRefusedSession_ && isListed &&
+         IsWithin(aLine, aScope, kConfigurationWindowMs);
+}
+
+bool
+IsStateChange(const LogLine& aLine, const RequestScope& aScope)
+{
   const std::string group = GetField(aLine, "group");
-  const bool isInWindow =
-    ageMs >= 0 && ageMs <= foundation::ToMilliseconds(kStateWindowMs);
+  const bool isInWindow = IsWithin(aLine, aScope, kStateWindowMs);
   const bool isStateEvent =
     std::ranges::find(kStateEvents, aLine.event_) != std::end(kStateEvents);
   return isInWindow && isStateEvent &&
@@ -241,7 +277,8 @@
     if (isRequestLine) {
       requestLines.push_back(&line);
     }
-    if (isRequestLine || IsStateChange(line, requestScope)) {
+    if (isRequestLine || IsStateChange(line, requestScope) ||
+        IsConfigurationChange(line, requestScope)) {
       listed.push_back(&line);
     }
   }
--- a/apps/wigeonctl/explain.h
+++ b/apps/wigeonctl/explain.h
@@ -16,6 +16,11 @@
 //! isolated host.
 constexpr foundation::Duration kStateWindowMs = std::chrono::milliseconds(3000);
 
+//! The same for changes of the configuration, at all hosts, when a session was
+//! refused by it. A host may have stood still or been cut off meanwhile.
+constexpr foundation::Duration kConfigurationWindowMs =
+  std::chrono::milliseconds(15000);
+
 //! One line of a log.
 struct LogLine
 {
@@ -32,8 +37,9 @@
 ParseLogLine(std::string_view aLine, std::string_view aFile);
 
 //! Returns the lines that concern a request, sorted by time, and a last line
-//! with the decision that determined its outcome. Empty if no line contains the
-//! request's id.
+//! with the decision that determined its outcome. A session that was refused is
+//! named as in the field `session` of its line. Empty if no line contains the
+//! name.
 std::string
 ExplainRequest(std::string_view aRequest, const std::vector<LogLine>& aLines);
 
--- a/apps/wigeonctl/tests/explain_tests.cpp
+++ b/apps/wigeonctl/tests/explain_tests.cpp
@@ -24,12 +24,15 @@
 2026-12-04T10:00:05.199 level=INFO module=wigeonlb.request event=request-finished session=10.0.0.1/7 attempt=3 group=g outcome=not_run sqlstate=57P03 reason="this host holds no grant"
 2026-12-04T10:00:06.990 level=INFO module=wigeonlb.request event=request-finished request=r2 session=10.0.0.1/9 attempt=1 group=g outcome=unknown sqlstate=08007 reason="the right to write ended" grant_term=4 grant_left_ms=-12
 2026-12-04T10:00:08.990 level=INFO module=wigeonlb.request event=request-finished session=10.0.0.1/8 attempt=5 group=h outcome=not_run sqlstate=57P03 reason="no target's data is young enough" newest_age_ms=1900
+2026-12-04T10:01:03.300 level=INFO module=wigeonlb.request event=session-refused session=10.0.0.1/12 attempt=0 database=d outcome=not_run sqlstate=3D000 reason="no such database" revision=70 confirmed_ms=3400
 2026-12-04T10:00:20.000 level=INFO module=wigeonlb.request event=transaction-differs request=r5 session=10.0.0.1/8 attempt=9 group=h transaction=0 open_transaction=6
 )" },
   { "control.log", R"(
    12.345 core-1 2026-12-04T10:00:05.090 level=INFO module=wigeonlb.control event=promotion-ordered group=g target=b term=5 fence=44
    12.345 core-1 2026-12-04T10:00:05.095 level=INFO module=wigeonlb.control event=promotion-ordered group=other target=c term=5 fence=45
    14.345 core-1 2026-12-04T10:00:08.000 level=INFO module=wigeonlb.agent event=cut-off tried=7
+2026-12-04T10:01:00.000 level=INFO module=wigeonlb.control event=change-decided change=c index=90 term=3 revision=71
+2026-12-04T10:01:00.002 level=INFO module=wigeonlb.control event=configuration-sent host=10.0.0.2 revision=71 index=90 term=3
 )" },
 };
 
@@ -94,6 +97,9 @@
       "sealed by owner.log: outcome=not_run sqlstate=57P03 reason: no target's "
       "data is young enough" },
     { "r4", {}, "" },
+    { "10.0.0.1/12",
+      { "change-decided", "configuration-sent", "session-refused", "sealed" },
+      "outcome=not_run sqlstate=3D000 reason: no such database" },
     { "r5", { "transaction-differs", "no" }, "no line has an outcome" },
   }));
   const std::string text = ExplainRequest(row.request_, ReadLogs());
--- a/apps/wigeonlbd/control/changesubmitter.cpp
+++ b/apps/wigeonlbd/control/changesubmitter.cpp
@@ -4,6 +4,7 @@
 
 #include "core/configuration/changeticket.h"
 #include "core/consensus/memberplan.h"
+#include "foundation/logging.h"
 #include "wire/textfields.h"
 
 namespace wigeonlb::daemon::control {
@@ -247,10 +248,28 @@
       aDecision.index_ == lastIndex_) {
     reply.set_decided(true);
     *reply.mutable_result() = lastResult_;
+    LogDecided(requester, aDecision.index_);
   }
   Answer(requester, reply);
 }
 
+//! Names the log entry that decided, so that an acknowledgement elsewhere can
+//! be told from one that nobody decided on.
+void
+ChangeSubmitter::LogDecided(const Requester& aRequester,
+                            std::uint64_t aIndex) const
+{
+  foundation::LogChange(
+    "control",
+    "change-decided",
+    { { "change", lastResult_.change_id() },
+      { "accepted", lastResult_.accepted() ? "true" : "false" },
+      { "revision", std::to_string(lastResult_.revision()) },
+      { "index", std::to_string(aIndex) },
+      { "term", std::to_string(member_->Consensus().hardState_.term()) },
+      { "asked_by", aRequester.host_ } });
+}
+
 void
 ChangeSubmitter::Answer(const Requester& aRequester,
                         const wire::ChangeReply& aReply)
@@ -307,6 +326,13 @@
   }
   const ChangeDone done = std::move(found->second.done_);
   pending_.erase(found);
+  foundation::LogChange(
+    "control",
+    "change-answered",
+    { { "change", aReply.result().change_id() },
+      { "accepted", aReply.result().accepted() ? "true" : "false" },
+      { "revision", std::to_string(aReply.result().revision()) },
+      { "from", aFrom } });
   done(ChangeAnswer{ ChangeOutcome::Decided, aReply.result() });
 }
 
--- a/apps/wigeonlbd/control/changesubmitter.h
+++ b/apps/wigeonlbd/control/changesubmitter.h
@@ -107,6 +107,7 @@
   //! no other leader is known.
   bool Relay(const Requester& aRequester, const wire::ChangeRequest& aRequest);
   bool MayPropose(const wire::ChangeRequest& aRequest) const;
+  void LogDecided(const Requester& aRequester, std::uint64_t aIndex) const;
   void Answer(const Requester& aRequester, const wire::ChangeReply& aReply);
   foundation::HostId ChooseMember(const Pending& aPending) const;
 
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -104,8 +104,12 @@
 void
 HostAgent::ApplyConfirmation(const wire::HeartbeatReply& aReply)
 {
-  if (!configuration::ReceiveConfirmation(
-        configuration_, aReply, SteadyNow())) {
+  const bool isFirst =
+    configuration::ReceiveConfirmation(configuration_, aReply, SteadyNow());
+  if (tableConfirmation_ != nullptr) {
+    tableConfirmation_->Set(configuration::FindConfirmation(configuration_));
+  }
+  if (!isFirst) {
     return;
   }
   if (HasNewerThanInForce()) {
@@ -305,7 +309,13 @@
 void
 HostAgent::Execute(const grants::ConfigurationReceived& aAction)
 {
-  if (configuration::ReceiveConfiguration(configuration_, aAction.reply_)) {
+  const foundation::Revision before = GetReceivedRevision();
+  const bool isUsable =
+    configuration::ReceiveConfiguration(configuration_, aAction.reply_);
+  if (GetReceivedRevision() != before) {
+    receivedFrom_ = aAction.reply_.from();
+  }
+  if (isUsable) {
     UseReceived();
   }
 }
@@ -328,7 +338,11 @@
     "agent",
     "configuration-in-force",
     { { "revision", std::to_string(View().state_.revision()) },
-      { "confirmed", HasConfirmedConfiguration() ? "true" : "false" } });
+      { "confirmed", HasConfirmedConfiguration() ? "true" : "false" },
+      { "from", receivedFrom_ },
+      { "leader_heard_ms",
+        std::to_string(
+          foundation::ToMilliseconds(SteadyNow() - lastLeaderContact_)) } });
   recording::RecordRevision(settings_.trace_, View().state_.revision());
   Publish();
   Feed(grants::RevisionInForce{ View().state_.revision() });
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -141,8 +141,11 @@
   //! Whether a configuration was received that is not in force yet.
   bool HasNewerThanInForce() const
   {
-    return configuration_.received_.state_.revision() >
-           View().state_.revision();
+    return GetReceivedRevision() > View().state_.revision();
+  }
+  foundation::Revision GetReceivedRevision() const
+  {
+    return configuration_.received_.state_.revision();
   }
   //! Stores the configuration that was received last, then puts it in force.
   void UseReceived();
@@ -167,6 +170,10 @@
   foundation::Instant lastLeaderContact_ = startedAt_;
   bool reachedLeader_ = false;
   core::configuration::HostConfiguration configuration_;
+  //! Of the routes that were published last; null before the first, and on a
+  //! host without control members.
+  std::shared_ptr<traffic::TableConfirmation> tableConfirmation_;
+  foundation::HostId receivedFrom_;      //!< sender of configuration_.received_
   std::unique_ptr<MemoryWriter> writer_; //!< null without a data folder
   core::membership::MembershipState announced_;
   std::vector<wire::HostInfo> hosts_;
--- a/apps/wigeonlbd/control/hostroutes.cpp
+++ b/apps/wigeonlbd/control/hostroutes.cpp
@@ -88,6 +88,11 @@
   table->revision_ = View().state_.revision();
   table->hasConfiguration_ = KnowsConfiguration();
   table->isConfirmed_ = HasConfirmedConfiguration();
+  if (!settings_.members_.empty()) {
+    tableConfirmation_ = std::make_shared<traffic::TableConfirmation>();
+    tableConfirmation_->Set(configuration::FindConfirmation(configuration_));
+    table->confirmation_ = tableConfirmation_;
+  }
   for (const auto& [name, group] : View().state_.groups()) {
     table->groups_.emplace(name, MakeRoute(group));
     if (View().state_.databases().empty()) {
--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -96,6 +96,7 @@
     Feed(failover::BecameLeader{ term, member_.FirstIndexOfTerm() });
     AnswerWaiters();
   } else {
+    behind_.hosts_.clear();
     Feed(failover::LostLeadership{});
   }
 }
@@ -121,6 +122,7 @@
     return;
   }
   relays_[aHeartbeat.sender().host()] = aHeartbeat.relayed_by();
+  LogHostBehind(aHeartbeat.sender().host());
   failover::HeartbeatReceived event;
   event.heartbeat_ = std::move(aHeartbeat);
   event.receivedAt_ = received;
@@ -205,7 +207,9 @@
     inForce == inForce_.end() ? 0 : inForce->second;
   auto configuration =
     core::configuration::DeltaSince(member_.Control(), revision);
+  configuration.set_confirmed(aReply.confirmed());
   if (!configuration.whole() || aReply.grants_size() > 0) {
+    LogSent(aHost, configuration);
     aReply.MergeFrom(configuration);
     return std::nullopt;
   }
@@ -215,14 +219,46 @@
     return std::nullopt;
   }
   sent->second = now;
+  LogSent(aHost, configuration);
   wire::PeerMessage message;
   *message.mutable_heartbeat_reply() = std::move(configuration);
   message.mutable_heartbeat_reply()->set_from(self_);
   message.mutable_heartbeat_reply()->set_boot(aReply.boot());
-  message.mutable_heartbeat_reply()->set_confirmed(aReply.confirmed());
   return message;
 }
 
+void
+LeaderDriver::LogSent(const foundation::HostId& aHost,
+                      const wire::HeartbeatReply& aConfiguration)
+{
+  if (aConfiguration.base_revision() >= aConfiguration.revision()) {
+    return; // the host has it
+  }
+  const core::consensus::ConsensusState& consensus = member_.Consensus();
+  const SenderState sender{ consensus.commitIndex_,
+                            core::consensus::TermAt(consensus.log_,
+                                                    consensus.commitIndex_),
+                            aConfiguration.confirmed() };
+  sentLog_.Write(aHost, aConfiguration, sender, SteadyNow());
+}
+
+void
+LeaderDriver::LogHostBehind(const foundation::HostId& aHost)
+{
+  const foundation::Revision newest = member_.Control().revision();
+  const auto change =
+    NoteRevision(behind_, aHost, inForce_[aHost], newest, SteadyNow());
+  if (change) {
+    foundation::LogChange("control",
+                          *change == BehindChange::Behind ? "host-behind"
+                                                          : "host-caught-up",
+                          { { "host", aHost },
+                            { "revision", std::to_string(inForce_[aHost]) },
+                            { "newest", std::to_string(newest) },
+                            { "relayed_by", relays_[aHost] } });
+  }
+}
+
 void
 LeaderDriver::AddMembers(const foundation::HostId& aHost,
                          wire::HeartbeatReply& aReply) const
--- a/apps/wigeonlbd/control/leaderdriver.h
+++ b/apps/wigeonlbd/control/leaderdriver.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "control/configurationreport.h"
 #include "control/consensusmember.h"
 #include "control/memberplanner.h"
 #include "control/peerport.h"
@@ -74,7 +75,6 @@
   void Execute(const core::failover::ReadTarget& aAction);
   void Execute(const core::failover::PromoteTarget& aAction);
   void UpdateLeading();
-  //! Proposes the next step of a membership change, if one is due.
   //! Adds the control members for a host whose list of them is outdated.
   void AddMembers(const foundation::HostId& aHost,
                   wire::HeartbeatReply& aReply) const;
@@ -94,6 +94,10 @@
   std::optional<wire::PeerMessage> AddConfiguration(
     const foundation::HostId& aHost,
     wire::HeartbeatReply& aReply);
+  void LogSent(const foundation::HostId& aHost,
+               const wire::HeartbeatReply& aConfiguration);
+  //! Logs that a host stays behind this leader's revision, or has caught up.
+  void LogHostBehind(const foundation::HostId& aHost);
   const target::Dialect& FindDialect(std::string_view aGroup,
                                      std::string_view aTarget) const;
 
@@ -118,6 +122,8 @@
     promotionsInProgress_;
   bool leading_ = false;
   std::map<foundation::HostId, foundation::Revision> inForce_;
+  HostsBehind behind_; //!< while this host leads
+  SentConfigurationLog sentLog_;
   //! When each host was last sent the whole configuration.
   std::map<foundation::HostId, foundation::Instant> wholeSentAt_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/apps/wigeonlbd/tests/requestlog_tests.cpp
+++ b/apps/wigeonlbd/tests/requestlog_tests.cpp
@@ -56,6 +56,19 @@
       "event=transaction-differs request=r1 session=10.0.0.1/7 attempt=9 "
       "group=g transaction=0 took_ms=0 open_transaction=4 connection=21 "
       "open_at=a open_ms=900 open_idle_ms=850" },
+    { { .event_ = RequestEvent::SessionRefused,
+        .request_ = { "", "10.0.0.1", 7, 0 },
+        .database_ = "d",
+        .outcome_ = wire::OUTCOME_NOT_RUN,
+        .sqlstate_ = "3D000",
+        .reason_ = "unknown",
+        .revision_ = 70,
+        .confirmation_ =
+          core::configuration::Confirmation{ 69, {}, "10.0.0.9" },
+        .confirmationAge_ = 3300ms },
+      "event=session-refused session=10.0.0.1/7 attempt=0 database=d "
+      "outcome=not_run sqlstate=3D000 reason=unknown took_ms=0 revision=70 "
+      "confirmed_revision=69 confirmed_by=10.0.0.9 confirmed_ms=3300" },
   }));
   CHECK(foundation::FormatLogLine(EventName(row.decision_.event_),
                                   BuildLogFields(row.decision_)) == row.line_);
--- a/apps/wigeonlbd/traffic/entryoutcome.cpp
+++ b/apps/wigeonlbd/traffic/entryoutcome.cpp
@@ -134,4 +134,36 @@
   context_.log_->Write(decision, now);
 }
 
+void
+EntrySession::RefuseSession(const caller::ErrorFields& aError)
+{
+  LogRefusal(aError.sqlstate_, aError.message_);
+  caller_->Refuse(aError);
+}
+
+void
+EntrySession::LogRefusal(std::string_view aSqlstate, std::string_view aReason)
+{
+  context_.metrics_->RecordRefusedSession(aSqlstate);
+  if (context_.log_ == nullptr) {
+    return;
+  }
+  const foundation::Instant now = SteadyNow();
+  RequestDecision decision;
+  decision.event_ = RequestEvent::SessionRefused;
+  decision.request_ = { "", context_.host_, number_, 0 };
+  decision.database_ = database_;
+  decision.outcome_ = wire::OUTCOME_NOT_RUN;
+  decision.sqlstate_ = aSqlstate;
+  decision.reason_ = aReason;
+  if (context_.routes_ != nullptr) {
+    decision.revision_ = context_.routes_->revision_;
+  }
+  if (const auto confirmation = FindConfirmation(context_.routes_)) {
+    decision.confirmation_ = *confirmation;
+    decision.confirmationAge_ = now - confirmation->askedAt_;
+  }
+  context_.log_->Write(decision, now);
+}
+
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -47,26 +47,26 @@
     group_ = database->group_;
   }
   if (context_.routes_ != nullptr && !context_.routes_->hasConfiguration_) {
-    caller_->Refuse({ "FATAL",
-                      std::string(sqlstates::kNotRun),
-                      "this host knows no configuration yet",
-                      FormatRetryDelay(kNoOwnerRetryDelayMs) });
+    RefuseSession({ "FATAL",
+                    std::string(sqlstates::kNotRun),
+                    "this host knows no configuration yet",
+                    FormatRetryDelay(kNoOwnerRetryDelayMs) });
     return;
   }
   if (Route() == nullptr && context_.routes_ != nullptr &&
       !context_.routes_->isConfirmed_) {
-    caller_->Refuse({ "FATAL",
-                      std::string(sqlstates::kNotRun),
-                      "this host's configuration is not confirmed yet",
-                      FormatRetryDelay(kNoOwnerRetryDelayMs) });
+    RefuseSession({ "FATAL",
+                    std::string(sqlstates::kNotRun),
+                    "this host's configuration is not confirmed yet",
+                    FormatRetryDelay(kNoOwnerRetryDelayMs) });
     return;
   }
   if (Route() == nullptr) {
-    caller_->Refuse({ "FATAL",
-                      std::string(sqlstates::kUnknownGroup),
-                      "there is no database group '" + database_ + "'",
-                      "",
-                      "`show groups` lists the groups" });
+    RefuseSession({ "FATAL",
+                    std::string(sqlstates::kUnknownGroup),
+                    "there is no database group '" + database_ + "'",
+                    "",
+                    "`show groups` lists the groups" });
     return;
   }
   std::string error;
@@ -148,8 +148,10 @@
 {
   const GroupRoute* const route = Route();
   if (route == nullptr) {
-    FailLocally({ sqlstates::kUnknownGroup,
-                  "the database group '" + database_ + "' was dropped" });
+    const std::string message =
+      "the database group '" + database_ + "' was dropped";
+    LogRefusal(sqlstates::kUnknownGroup, message);
+    FailLocally({ sqlstates::kUnknownGroup, message });
     return;
   }
   if (!InTransaction()) {
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -152,6 +152,10 @@
   void Record(const RequestResult& aResult);
   //! Logs a decision about the current request.
   void Log(RequestEvent aEvent, const RequestResult& aResult);
+  //! Refuses the session because of the configuration in force.
+  void RefuseSession(const caller::ErrorFields& aError);
+  //! Logs a refusal with the configuration by which it was decided.
+  void LogRefusal(std::string_view aSqlstate, std::string_view aReason);
 
   EntryContext& context_;
   boost::intrusive_ptr<caller::CallerSession> caller_;
--- a/apps/wigeonlbd/traffic/requestlog.cpp
+++ b/apps/wigeonlbd/traffic/requestlog.cpp
@@ -94,6 +94,8 @@
       return "request-finished";
     case RequestEvent::TransactionDiffers:
       return "transaction-differs";
+    case RequestEvent::SessionRefused:
+      return "session-refused";
   }
   return "";
 }
@@ -170,6 +172,13 @@
   if (aDecision.revision_) {
     fields.emplace_back("revision", std::to_string(*aDecision.revision_));
   }
+  if (aDecision.confirmation_) {
+    fields.emplace_back("confirmed_revision",
+                        std::to_string(aDecision.confirmation_->revision_));
+    fields.emplace_back("confirmed_by", aDecision.confirmation_->leader_);
+    fields.emplace_back("confirmed_ms",
+                        FormatMilliseconds(aDecision.confirmationAge_));
+  }
   if (aDecision.openTransaction_) {
     AddOpenTransaction(fields, *aDecision.openTransaction_);
   }
--- a/apps/wigeonlbd/traffic/requestlog.h
+++ b/apps/wigeonlbd/traffic/requestlog.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/configuration/hostconfiguration.h"
 #include "core/traffic/trafficstate.h"
 #include "forward.pb.h"
 #include "foundation/clock.h"
@@ -26,6 +27,8 @@
   Finished, //!< at the owner: it ended with an error
   //! At the owner: it arrived with another transaction than the one there.
   TransactionDiffers,
+  //! At the entry host: a session was refused by the configuration in force.
+  SessionRefused,
 };
 
 std::string_view
@@ -68,6 +71,9 @@
   std::optional<foundation::Duration> latencyObjective_;
   //! Revision of the routes at the entry host.
   std::optional<foundation::Revision> revision_;
+  //! The leader's statement about that revision.
+  std::optional<core::configuration::Confirmation> confirmation_;
+  foundation::Duration confirmationAge_{ 0 };
 
   //! At the owner: the session's transaction when the request arrived.
   std::optional<core::traffic::SessionTransaction> openTransaction_;
--- a/apps/wigeonlbd/traffic/routingtable.h
+++ b/apps/wigeonlbd/traffic/routingtable.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "control.pb.h"
-#include "foundation/clock.h"
+#include "core/configuration/hostconfiguration.h"
 #include "foundation/identifiers.h"
 
 namespace wigeonlb::daemon::traffic {
@@ -41,8 +41,32 @@
   std::uint32_t priority_ = 0; //!< 0 is the highest
 };
 
+//! The newest confirmation that covers one routing table; it is renewed while
+//! the table is in use. Set by the control thread, read by the traffic threads.
+class TableConfirmation
+{
+public:
+  //! Null: a leader has named a revision that the table lacks, or none was
+  //! heard.
+  void Set(const core::configuration::Confirmation* aConfirmation)
+  {
+    current_ = aConfirmation == nullptr
+                 ? nullptr
+                 : std::make_shared<const core::configuration::Confirmation>(
+                     *aConfirmation);
+  }
+  std::shared_ptr<const core::configuration::Confirmation> Get() const
+  {
+    return current_;
+  }
+
+private:
+  std::atomic<std::shared_ptr<const core::configuration::Confirmation>>
+    current_;
+};
+
 //! Every database that callers may connect to, and every group. Immutable once
-//! published.
+//! published, but for its confirmation.
 //! NOTE If no databases are configured, there is one per group, with its name.
 struct RoutingTable
 {
@@ -52,10 +76,20 @@
   //! False if the configuration may lack acknowledged changes. A name that is
   //! not found may then exist.
   bool isConfirmed_ = true;
+  //! Null on a host without control members.
+  std::shared_ptr<const TableConfirmation> confirmation_;
   std::map<foundation::GroupName, GroupRoute, std::less<>> groups_;
   std::map<std::string, DatabaseRoute, std::less<>> databases_;
 };
 
 using RoutingTablePointer = std::shared_ptr<const RoutingTable>;
 
+//! The newest confirmation of a table; null if there is none, or no table.
+inline std::shared_ptr<const core::configuration::Confirmation>
+FindConfirmation(const RoutingTablePointer& aTable)
+{
+  const bool has = aTable != nullptr && aTable->confirmation_ != nullptr;
+  return has ? aTable->confirmation_->Get() : nullptr;
+}
+
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/trafficmetrics.cpp
+++ b/apps/wigeonlbd/traffic/trafficmetrics.cpp
@@ -48,4 +48,12 @@
     .Record(aRecord.took_);
 }
 
+void
+TrafficMetrics::RecordRefusedSession(std::string_view aSqlstate)
+{
+  registry_
+    .Counter("wigeonlb_sessions_refused_total", { { "sqlstate", aSqlstate } })
+    .Add(1);
+}
+
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/trafficmetrics.h
+++ b/apps/wigeonlbd/traffic/trafficmetrics.h
@@ -29,6 +29,9 @@
 
   //! Callable from any thread.
   void Record(const StatementRecord& aRecord);
+  //! Counts a session, or a statement of one, whose name has no route.
+  //! Callable from any thread.
+  void RecordRefusedSession(std::string_view aSqlstate);
 
 private:
   foundation::MetricsRegistry& registry_;
