--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -97,6 +97,7 @@
     ApplyUnusable(aReply);
   }
   ApplyMembers(aReply);
+  configuration::NoteConfirmation(configuration_, aReply, SteadyNow());
   Feed(grants::ReplyReceived{ aReply });
   ApplyConfirmation(aReply);
 }
@@ -104,19 +105,19 @@
 void
 HostAgent::ApplyConfirmation(const wire::HeartbeatReply& aReply)
 {
-  const bool isFirst =
-    configuration::ReceiveConfirmation(configuration_, aReply, SteadyNow());
+  if (configuration::ConfirmReceived(configuration_, aReply) &&
+      HasNewerThanInForce()) {
+    UseReceived();
+  }
+  UpdateTableConfirmation();
+}
+
+void
+HostAgent::UpdateTableConfirmation()
+{
   if (tableConfirmation_ != nullptr) {
     tableConfirmation_->Set(configuration::FindConfirmation(configuration_));
   }
-  if (!isFirst) {
-    return;
-  }
-  if (HasNewerThanInForce()) {
-    UseReceived();
-  } else {
-    Publish();
-  }
 }
 
 //! Heartbeats still go to the hosts named in the settings as well: they may
@@ -334,11 +335,13 @@
 HostAgent::PutInForce(const configuration::ConfigurationView& aView)
 {
   configuration_.inForce_.state_ = aView.state_;
+  const bool isConfirmed = configuration::MayRefuseNames(
+    configuration::FindConfirmation(configuration_), SteadyNow());
   foundation::LogChange(
     "agent",
     "configuration-in-force",
     { { "revision", std::to_string(View().state_.revision()) },
-      { "confirmed", HasConfirmedConfiguration() ? "true" : "false" },
+      { "confirmed", isConfirmed ? "true" : "false" },
       { "from", receivedFrom_ },
       { "leader_heard_ms",
         std::to_string(
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -87,9 +87,8 @@
     return !configuration_.expected_ || View().state_.revision() != 0;
   }
 
-  //! Whether a leader has confirmed the configuration since the start, or none
-  //! is expected. A name that is unknown here is then unknown in the whole
-  //! system.
+  //! Whether a leader has confirmed the configuration since the start, so that
+  //! this host may begin with it, or none is expected.
   bool HasConfirmedConfiguration() const
   {
     return !configuration_.expected_ || configuration_.confirmed_;
@@ -152,6 +151,7 @@
   //! Notes what a leader has confirmed, which may put the configuration
   //! received last in force.
   void ApplyConfirmation(const wire::HeartbeatReply& aReply);
+  void UpdateTableConfirmation();
   void PutInForce(const core::configuration::ConfigurationView& aView);
   void ApplyMembers(const wire::HeartbeatReply& aReply);
   void ApplyUnusable(const wire::HeartbeatReply& aReply);
--- a/apps/wigeonlbd/control/hostroutes.cpp
+++ b/apps/wigeonlbd/control/hostroutes.cpp
@@ -87,10 +87,9 @@
   auto table = std::make_shared<traffic::RoutingTable>();
   table->revision_ = View().state_.revision();
   table->hasConfiguration_ = KnowsConfiguration();
-  table->isConfirmed_ = HasConfirmedConfiguration();
   if (!settings_.members_.empty()) {
     tableConfirmation_ = std::make_shared<traffic::TableConfirmation>();
-    tableConfirmation_->Set(configuration::FindConfirmation(configuration_));
+    UpdateTableConfirmation();
     table->confirmation_ = tableConfirmation_;
   }
   for (const auto& [name, group] : View().state_.groups()) {
--- a/apps/wigeonlbd/traffic/entryoutcome.cpp
+++ b/apps/wigeonlbd/traffic/entryoutcome.cpp
@@ -9,6 +9,14 @@
 using foundation::Duration;
 using foundation::SteadyNow;
 
+namespace {
+
+//! Retry delay that is suggested to callers whose name has no route yet: a
+//! heartbeat brings what this host lacks.
+constexpr Duration kNoRouteRetryDelayMs = std::chrono::milliseconds(300);
+
+} // namespace
+
 std::string
 FormatRetryDelay(Duration aRetryAfter)
 {
@@ -134,36 +142,43 @@
   context_.log_->Write(decision, now);
 }
 
-void
-EntrySession::RefuseSession(const caller::ErrorFields& aError)
+EntrySession::LocalError
+EntrySession::MakeNameError(NameVerdict aVerdict) const
 {
-  LogRefusal(aError.sqlstate_, aError.message_);
-  caller_->Refuse(aError);
+  if (aVerdict == NameVerdict::Unknown) {
+    return { sqlstates::kUnknownGroup,
+             "there is no database group '" + database_ + "'" };
+  }
+  return { sqlstates::kNotRun,
+           aVerdict == NameVerdict::NoConfiguration
+             ? "this host knows no configuration yet"
+             : "this host's configuration may be outdated: it has heard no "
+               "control leader for a moment",
+           FormatRetryDelay(kNoRouteRetryDelayMs) };
 }
 
 void
-EntrySession::LogRefusal(std::string_view aSqlstate, std::string_view aReason)
+EntrySession::LogRefusal(const LocalError& aError, foundation::Instant aNow)
 {
-  context_.metrics_->RecordRefusedSession(aSqlstate);
+  context_.metrics_->RecordRefusedSession(aError.sqlstate_);
   if (context_.log_ == nullptr) {
     return;
   }
-  const foundation::Instant now = SteadyNow();
   RequestDecision decision;
   decision.event_ = RequestEvent::SessionRefused;
   decision.request_ = { "", context_.host_, number_, 0 };
   decision.database_ = database_;
   decision.outcome_ = wire::OUTCOME_NOT_RUN;
-  decision.sqlstate_ = aSqlstate;
-  decision.reason_ = aReason;
+  decision.sqlstate_ = aError.sqlstate_;
+  decision.reason_ = aError.message_;
   if (context_.routes_ != nullptr) {
     decision.revision_ = context_.routes_->revision_;
   }
   if (const auto confirmation = FindConfirmation(context_.routes_)) {
     decision.confirmation_ = *confirmation;
-    decision.confirmationAge_ = now - confirmation->askedAt_;
+    decision.confirmationAge_ = aNow - confirmation->askedAt_;
   }
-  context_.log_->Write(decision, now);
+  context_.log_->Write(decision, aNow);
 }
 
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -46,27 +46,18 @@
   if (const DatabaseRoute* const database = FindDatabase()) {
     group_ = database->group_;
   }
-  if (context_.routes_ != nullptr && !context_.routes_->hasConfiguration_) {
-    RefuseSession({ "FATAL",
-                    std::string(sqlstates::kNotRun),
-                    "this host knows no configuration yet",
-                    FormatRetryDelay(kNoOwnerRetryDelayMs) });
-    return;
-  }
-  if (Route() == nullptr && context_.routes_ != nullptr &&
-      !context_.routes_->isConfirmed_) {
-    RefuseSession({ "FATAL",
-                    std::string(sqlstates::kNotRun),
-                    "this host's configuration is not confirmed yet",
-                    FormatRetryDelay(kNoOwnerRetryDelayMs) });
-    return;
-  }
-  if (Route() == nullptr) {
-    RefuseSession({ "FATAL",
-                    std::string(sqlstates::kUnknownGroup),
-                    "there is no database group '" + database_ + "'",
-                    "",
-                    "`show groups` lists the groups" });
+  const foundation::Instant now = SteadyNow();
+  const NameVerdict verdict = JudgeName(context_.routes_, database_, now);
+  if (verdict != NameVerdict::Known) {
+    const LocalError error = MakeNameError(verdict);
+    LogRefusal(error, now);
+    caller_->Refuse({ "FATAL",
+                      std::string(error.sqlstate_),
+                      error.message_,
+                      error.detail_,
+                      verdict == NameVerdict::Unknown
+                        ? "`show groups` lists the groups"
+                        : "" });
     return;
   }
   std::string error;
@@ -148,10 +139,11 @@
 {
   const GroupRoute* const route = Route();
   if (route == nullptr) {
-    const std::string message =
-      "the database group '" + database_ + "' was dropped";
-    LogRefusal(sqlstates::kUnknownGroup, message);
-    FailLocally({ sqlstates::kUnknownGroup, message });
+    const foundation::Instant now = SteadyNow();
+    const LocalError error =
+      MakeNameError(JudgeName(context_.routes_, database_, now));
+    LogRefusal(error, now);
+    FailLocally(error);
     return;
   }
   if (!InTransaction()) {
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -152,10 +152,11 @@
   void Record(const RequestResult& aResult);
   //! Logs a decision about the current request.
   void Log(RequestEvent aEvent, const RequestResult& aResult);
-  //! Refuses the session because of the configuration in force.
-  void RefuseSession(const caller::ErrorFields& aError);
-  //! Logs a refusal with the configuration by which it was decided.
-  void LogRefusal(std::string_view aSqlstate, std::string_view aReason);
+  //! The error for a name that has no route at present.
+  LocalError MakeNameError(NameVerdict aVerdict) const;
+  //! Logs a refusal of the session's name with the configuration by which it
+  //! was decided.
+  void LogRefusal(const LocalError& aError, foundation::Instant aNow);
 
   EntryContext& context_;
   boost::intrusive_ptr<caller::CallerSession> caller_;
--- a/apps/wigeonlbd/traffic/routingtable.h
+++ b/apps/wigeonlbd/traffic/routingtable.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/configuration/hostconfiguration.h"
@@ -73,10 +74,7 @@
   foundation::Revision revision_ = 0;
   //! False on a host that has no configuration in force yet.
   bool hasConfiguration_ = true;
-  //! False if the configuration may lack acknowledged changes. A name that is
-  //! not found may then exist.
-  bool isConfirmed_ = true;
-  //! Null on a host without control members.
+  //! Null on a host without control members, which knows every name.
   std::shared_ptr<const TableConfirmation> confirmation_;
   std::map<foundation::GroupName, GroupRoute, std::less<>> groups_;
   std::map<std::string, DatabaseRoute, std::less<>> databases_;
@@ -85,11 +83,22 @@
 using RoutingTablePointer = std::shared_ptr<const RoutingTable>;
 
 //! The newest confirmation of a table; null if there is none, or no table.
-inline std::shared_ptr<const core::configuration::Confirmation>
-FindConfirmation(const RoutingTablePointer& aTable)
+std::shared_ptr<const core::configuration::Confirmation>
+FindConfirmation(const RoutingTablePointer& aTable);
+
+//! The route of a name, or why it has none.
+enum class NameVerdict
 {
-  const bool has = aTable != nullptr && aTable->confirmation_ != nullptr;
-  return has ? aTable->confirmation_->Get() : nullptr;
-}
+  Known,
+  NoConfiguration, //!< the host has none yet
+  MayExist,        //!< it may have been added since the host heard a leader
+  Unknown,         //!< no such name in the whole system
+};
+
+//! Decides about a name that a caller has just sent. aTable may be null.
+NameVerdict
+JudgeName(const RoutingTablePointer& aTable,
+          std::string_view aName,
+          foundation::Instant aNow);
 
 } // namespace wigeonlb::daemon::traffic
--- a/packages/core/configuration/hostconfiguration.cpp
+++ b/packages/core/configuration/hostconfiguration.cpp
@@ -1,22 +1,16 @@
 #include "core/configuration/hostconfiguration.h"
 
-#include <algorithm>
-
 namespace wigeonlb::core::configuration {
 
 namespace {
 
-void
-NoteConfirmation(HostConfiguration& aState,
-                 const wire::HeartbeatReply& aReply,
-                 foundation::Instant aNow)
+//! Whether a leader with its lease has sent the reply. A host that expects a
+//! configuration waits until there is one.
+bool
+IsConfirmation(const HostConfiguration& aState,
+               const wire::HeartbeatReply& aReply)
 {
-  const foundation::Instant askedAt{ foundation::Duration(
-    aReply.sent_at_us()) };
-  const bool isNewer = !aState.newest_ || askedAt > aState.newest_->askedAt_;
-  if (aReply.sent_at_us() != 0 && askedAt <= aNow && isNewer) {
-    aState.newest_ = { aReply.revision(), askedAt, aReply.from() };
-  }
+  return aReply.confirmed() && (aReply.revision() != 0 || !aState.expected_);
 }
 
 } // namespace
@@ -36,19 +30,26 @@
   return change.changed_ && MayPutInForce(aState);
 }
 
-bool
-ReceiveConfirmation(HostConfiguration& aState,
-                    const wire::HeartbeatReply& aReply,
-                    foundation::Instant aNow)
+void
+NoteConfirmation(HostConfiguration& aState,
+                 const wire::HeartbeatReply& aReply,
+                 foundation::Instant aNow)
 {
-  const bool hasNone = aState.expected_ && aReply.revision() == 0;
-  if (!aReply.confirmed() || hasNone) {
-    return false;
+  const foundation::Instant askedAt{ foundation::Duration(
+    aReply.sent_at_us()) };
+  const bool isNewer = !aState.newest_ || askedAt > aState.newest_->askedAt_;
+  if (IsConfirmation(aState, aReply) && aReply.sent_at_us() != 0 &&
+      askedAt <= aNow && isNewer) {
+    aState.newest_ = { aReply.revision(), askedAt, aReply.from() };
   }
-  NoteConfirmation(aState, aReply, aNow);
+}
+
+bool
+ConfirmReceived(HostConfiguration& aState, const wire::HeartbeatReply& aReply)
+{
   const bool lacksNothing =
     aState.received_.state_.revision() >= aReply.revision();
-  if (aState.confirmed_ || !lacksNothing) {
+  if (aState.confirmed_ || !IsConfirmation(aState, aReply) || !lacksNothing) {
     return false;
   }
   aState.confirmed_ = true;
@@ -63,4 +64,11 @@
   return covers ? &*aState.newest_ : nullptr;
 }
 
+bool
+MayRefuseNames(const Confirmation* aConfirmation, foundation::Instant aNow)
+{
+  return aConfirmation != nullptr &&
+         aNow - aConfirmation->askedAt_ <= kConfirmationLifetimeMs;
+}
+
 } // namespace wigeonlb::core::configuration
--- a/packages/core/configuration/hostconfiguration.h
+++ b/packages/core/configuration/hostconfiguration.h
@@ -8,6 +8,12 @@
 //! What a host knows of the configuration, and what it may use.
 namespace wigeonlb::core::configuration {
 
+//! How long a host may refuse unknown names after it asked a leader for the
+//! newest revision: some heartbeats, but less than the time within which a
+//! change has to be in force everywhere.
+constexpr foundation::Duration kConfirmationLifetimeMs =
+  std::chrono::milliseconds(1000);
+
 //! A leader's statement that a revision was the newest one when it answered a
 //! heartbeat.
 struct Confirmation
@@ -49,17 +55,31 @@
 ReceiveConfiguration(HostConfiguration& aState,
                      const wire::HeartbeatReply& aReply);
 
-//! Notes that a reply confirms a revision. Returns whether this is the first
-//! time since the start that received_ lacks nothing. A reply is ignored if it
-//! tells no time of its heartbeat, or one in the future.
+//! Notes what a reply confirms, to be called before its configuration is
+//! applied. A reply is ignored if it tells no time of its heartbeat, or one in
+//! the future.
+void
+NoteConfirmation(HostConfiguration& aState,
+                 const wire::HeartbeatReply& aReply,
+                 foundation::Instant aNow);
+
+//! Marks received_ as confirmed if the reply confirms it, to be called after
+//! the reply's configuration was applied. Returns whether this is the first
+//! time since the start.
 bool
-ReceiveConfirmation(HostConfiguration& aState,
-                    const wire::HeartbeatReply& aReply,
-                    foundation::Instant aNow);
+ConfirmReceived(HostConfiguration& aState, const wire::HeartbeatReply& aReply);
 
 //! The newest confirmation; null if there is none, or if the configuration in
 //! force lacks the revision that it names.
 const Confirmation*
 FindConfirmation(const HostConfiguration& aState);
 
+//! Whether a name that is not found may be refused as unknown: the system has
+//! had no newer configuration since shortly before. Without a confirmation it
+//! may not.
+//! NOTE aNow must be a new clock reading: a host that stood still learns only
+//! from that how old its confirmation is.
+bool
+MayRefuseNames(const Confirmation* aConfirmation, foundation::Instant aNow);
+
 } // namespace wigeonlb::core::configuration
