--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/post.hpp>
 
 #include "control/targetrequest.h"
-#include "core/configuration/delta.h"
 #include "core/consensus/replicatedlog.h"
 #include "foundation/logging.h"
 
@@ -17,10 +16,6 @@
 
 constexpr Duration kReadTimeoutMs = std::chrono::milliseconds(350);
 
-//! Minimum time between two whole configurations for one host that holds no
-//! grant: the first one may still be on its way.
-constexpr Duration kWholeIntervalMs = std::chrono::milliseconds(1000);
-
 //! Logs under which right the promotion is requested, so that requests of two
 //! leaders can be told apart.
 void
@@ -105,7 +100,8 @@
 LeaderDriver::OnHeartbeat(wire::Heartbeat aHeartbeat)
 {
   UpdateLeading();
-  inForce_[aHeartbeat.sender().host()] = aHeartbeat.revision_in_force();
+  delivery_.inForce_[aHeartbeat.sender().host()] =
+    aHeartbeat.revision_in_force();
   knownMembersIndex_[aHeartbeat.sender().host()] = aHeartbeat.members_index();
   const foundation::Instant received = SteadyNow();
   if (!leading_ || !member_.HoldsLease()) {
@@ -175,9 +171,9 @@
   reply.set_boot(aWaiter.boot_);
   reply.set_sequence(aWaiter.sequence_);
   reply.set_sent_at_us(aWaiter.sentAtUs_);
+  reply.set_from(self_);
   auto whole = AddConfiguration(aWaiter.host_, reply);
   AddMembers(aWaiter.host_, reply);
-  reply.set_from(self_);
   reply.set_leader(false);
   reply.set_leader_hint(GetKnownLeader());
   port_.SendControl(aWaiter.host_, std::move(message));
@@ -202,28 +198,14 @@
 LeaderDriver::AddConfiguration(const foundation::HostId& aHost,
                                wire::HeartbeatReply& aReply)
 {
-  const auto inForce = inForce_.find(aHost);
-  const foundation::Revision revision =
-    inForce == inForce_.end() ? 0 : inForce->second;
-  auto configuration =
-    core::configuration::DeltaSince(member_.Control(), revision);
-  configuration.set_confirmed(aReply.confirmed());
-  if (!configuration.whole() || aReply.grants_size() > 0) {
-    LogSent(aHost, configuration);
-    aReply.MergeFrom(configuration);
-    return std::nullopt;
-  }
-  const foundation::Instant now = SteadyNow();
-  const auto [sent, first] = wholeSentAt_.try_emplace(aHost, now);
-  if (!first && now - sent->second < kWholeIntervalMs) {
+  auto whole = core::configuration::AddConfiguration(
+    delivery_, member_.Control(), aHost, SteadyNow(), aReply);
+  LogSent(aHost, whole ? *whole : aReply);
+  if (!whole) {
     return std::nullopt;
   }
-  sent->second = now;
-  LogSent(aHost, configuration);
   wire::PeerMessage message;
-  *message.mutable_heartbeat_reply() = std::move(configuration);
-  message.mutable_heartbeat_reply()->set_from(self_);
-  message.mutable_heartbeat_reply()->set_boot(aReply.boot());
+  *message.mutable_heartbeat_reply() = std::move(*whole);
   return message;
 }
 
@@ -245,15 +227,16 @@
 void
 LeaderDriver::LogHostBehind(const foundation::HostId& aHost)
 {
+  const foundation::Revision inForce = delivery_.inForce_[aHost];
   const foundation::Revision newest = member_.Control().revision();
   const auto change =
-    NoteRevision(behind_, aHost, inForce_[aHost], newest, SteadyNow());
+    NoteRevision(behind_, aHost, inForce, newest, SteadyNow());
   if (change) {
     foundation::LogChange("control",
                           *change == BehindChange::Behind ? "host-behind"
                                                           : "host-caught-up",
                           { { "host", aHost },
-                            { "revision", std::to_string(inForce_[aHost]) },
+                            { "revision", std::to_string(inForce) },
                             { "newest", std::to_string(newest) },
                             { "relayed_by", relays_[aHost] } });
   }
--- a/apps/wigeonlbd/control/leaderdriver.h
+++ b/apps/wigeonlbd/control/leaderdriver.h
@@ -14,6 +14,7 @@
 #include "control/memberplanner.h"
 #include "control/peerport.h"
 #include "control/promotionport.h"
+#include "core/configuration/delivery.h"
 #include "core/failover/failover.h"
 #include "core/grants/leaderwaiters.h"
 #include "target/dialect.h"
@@ -64,7 +65,7 @@
   const std::map<foundation::HostId, foundation::Revision>& RevisionsInForce()
     const
   {
-    return inForce_;
+    return delivery_.inForce_;
   }
 
 private:
@@ -87,10 +88,8 @@
   //! Sends the leader hint to the hosts whose heartbeats arrived while no
   //! leader was known.
   void AnswerWaiters();
-  //! Adds the configuration changes that the host lacks. A host that needs the
-  //! whole configuration gets it in the returned message, which the byte budget
-  //! may delay: the host must not wait so long for the reply itself. Grants go
-  //! together with the configuration that they need.
+  //! Adds what the host lacks of the configuration to a reply. Returns a
+  //! message with the whole configuration if it is sent separately.
   std::optional<wire::PeerMessage> AddConfiguration(
     const foundation::HostId& aHost,
     wire::HeartbeatReply& aReply);
@@ -121,11 +120,9 @@
   std::set<std::pair<foundation::GroupName, std::uint64_t>>
     promotionsInProgress_;
   bool leading_ = false;
-  std::map<foundation::HostId, foundation::Revision> inForce_;
+  core::configuration::Delivery delivery_;
   HostsBehind behind_; //!< while this host leads
   SentConfigurationLog sentLog_;
-  //! When each host was last sent the whole configuration.
-  std::map<foundation::HostId, foundation::Instant> wholeSentAt_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
