--- a/apps/wigeonlbd/tests/leaderdriver_tests.cpp
+++ b/apps/wigeonlbd/tests/leaderdriver_tests.cpp
@@ -72,13 +72,17 @@
   CHECK(first[1].revision() == revision);
   CHECK(first[0].confirmed());
   CHECK(first[1].confirmed());
+  // Else it would confirm that there is no configuration.
+  CHECK(first[0].revision() == revision);
   // It would be delayed with the byte budget, and must not look like an answer.
   CHECK_FALSE(first[1].leader());
   CHECK(first[1].leader_hint().empty());
 
   SECTION("the next heartbeat does not cause the whole to be sent again")
   {
-    CHECK(SendHeartbeat(fixture, 0).size() == 1);
+    const auto next = SendHeartbeat(fixture, 0);
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].revision() == revision);
   }
   SECTION("a host that has the configuration gets the reply only")
   {
--- a/packages/core/configuration/delivery.cpp
+++ b/packages/core/configuration/delivery.cpp
@@ -19,6 +19,10 @@
     aReply.MergeFrom(configuration);
     return std::nullopt;
   }
+  //! NOTE A host that has an older revision ignores a reply that is based on
+  //! this one, but learns that there is a newer configuration than its own.
+  aReply.set_revision(configuration.revision());
+  aReply.set_base_revision(configuration.revision());
   const auto [sent, first] = aDelivery.wholeSentAt_.try_emplace(aHost, aNow);
   if (!first && aNow - sent->second < kWholeIntervalMs) {
     return std::nullopt;
--- a/packages/core/configuration/tests/hostconfiguration_tests.cpp
+++ b/packages/core/configuration/tests/hostconfiguration_tests.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "core/configuration/delivery.h"
 #include "core/configuration/hostconfiguration.h"
 
 namespace wigeonlb::core::configuration {
@@ -92,4 +93,38 @@
   CHECK(MayRefuseNames(FindConfirmation(state), foundation::Instant(10s)));
 }
 
+// Guards against names that are refused before the whole configuration has
+// come.
+TEST_CASE("a reply whose configuration follows separately changes nothing",
+          "[hostconfiguration]")
+{
+  wire::ControlState control;
+  wire::ControlRecord record;
+  record.mutable_change()->set_change_id("c");
+  record.mutable_change()->add_operations()->mutable_create_group()->set_group(
+    "g");
+  REQUIRE(ApplyRecord(control, record, 1).changed_);
+  const bool isExpected = GENERATE(false, true);
+  Delivery delivery;
+  wire::HeartbeatReply reply;
+  reply.set_from("a");
+  reply.set_sent_at_us(std::chrono::microseconds(9800ms).count());
+  reply.set_confirmed(true);
+  const foundation::Instant now(10s);
+  const auto whole = AddConfiguration(delivery, control, "h", now, reply);
+  REQUIRE(whole.has_value());
+
+  HostConfiguration state;
+  state.expected_ = isExpected;
+  NoteConfirmation(state, reply, now);
+  CHECK_FALSE(ReceiveConfiguration(state, reply));
+  CHECK_FALSE(ConfirmReceived(state, reply));
+  CHECK_FALSE(MayRefuseNames(FindConfirmation(state), now));
+  const bool isUsable = ReceiveConfiguration(state, *whole);
+  CHECK((ConfirmReceived(state, *whole) || isUsable));
+  state.inForce_ = state.received_;
+  CHECK(state.inForce_.state_.groups_size() == 1);
+  CHECK(MayRefuseNames(FindConfirmation(state), now));
+}
+
 } // namespace wigeonlb::core::configuration
