--- a/packages/core/grants/tests/shareschedule_tests.cpp
+++ b/packages/core/grants/tests/shareschedule_tests.cpp
@@ -375,6 +375,19 @@
   }
 }
 
+// Guards against more connections than the limit after a change of leader.
+TEST_CASE("connections fit the limit in schedules that were found by hand",
+          "[.][moreshares]")
+{
+  for (const std::uint64_t seed : { 140U, 169U, 1021U, 1055U, 1185U }) {
+    const auto limits = GENERATE(
+      Limits{ 14, 6 }, Limits{ 20, 3 }, Limits{ 30, 2 }, Limits{ 20, 0 });
+    const auto sim = RunSchedule(limits, seed);
+    CAPTURE(seed, limits.connections_, limits.slots_);
+    CHECK(sim.maxOpen_ <= limits.connections_);
+  }
+}
+
 TEST_CASE("the limit is exceeded if ended grants are ignored", "[shares]")
 {
   std::size_t exceeded = 0;
