--- a/apps/wigeonlbd/control/controlpeers.cpp
+++ b/apps/wigeonlbd/control/controlpeers.cpp
@@ -80,10 +80,15 @@
 ControlRuntime::PostSeeds(std::vector<settings::ControlMember> aSeeds)
 {
   boost::asio::post(context_, [this, seeds = std::move(aSeeds)] {
+    std::vector<foundation::HostId> names;
     for (const settings::ControlMember& seed : seeds) {
       memberAddresses_[seed.host_] = seed.peerAddress_;
+      names.push_back(seed.host_);
     }
     SetPeers();
+    if (!names.empty()) {
+      agent_->OnSeeds(std::move(names));
+    }
   });
 }
 
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -135,11 +135,6 @@
   members.insert(members.end(),
                  aReply.members().learners().begin(),
                  aReply.members().learners().end());
-  for (const foundation::HostId& host : settings_.members_) {
-    if (std::ranges::find(members, host) == members.end()) {
-      members.push_back(host);
-    }
-  }
   foundation::LogChange(
     "agent",
     "members-changed",
@@ -148,7 +143,27 @@
   if (onMembers_) {
     onMembers_(aReply.members());
   }
-  Feed(grants::MembersChanged{ std::move(members), aReply.members_index() });
+  Feed(grants::MembersChanged{ WithSeeds(std::move(members)),
+                               aReply.members_index() });
+}
+
+std::vector<foundation::HostId>
+HostAgent::WithSeeds(std::vector<foundation::HostId> aMembers) const
+{
+  for (const foundation::HostId& host : settings_.members_) {
+    if (std::ranges::find(aMembers, host) == aMembers.end()) {
+      aMembers.push_back(host);
+    }
+  }
+  return aMembers;
+}
+
+void
+HostAgent::OnSeeds(std::vector<foundation::HostId> aSeeds)
+{
+  settings_.members_ = std::move(aSeeds);
+  Feed(grants::MembersChanged{ WithSeeds(holder_.members_),
+                               holder_.membersIndex_ });
 }
 
 void
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -68,6 +68,9 @@
   //! hosts.
   void OnConnections(const foundation::GroupName& aGroup,
                      std::uint32_t aConnections);
+  //! Replaces the hosts named in the settings. The control members known so far
+  //! are still asked.
+  void OnSeeds(std::vector<foundation::HostId> aSeeds);
   void OnReleased(const foundation::GroupName& aGroup, std::uint64_t aTerm);
   //! Brings the next heartbeat forward to receive a configuration update.
   void ExpediteHeartbeat();
@@ -154,6 +157,9 @@
   void UpdateTableConfirmation();
   void PutInForce(const core::configuration::ConfigurationView& aView);
   void ApplyMembers(const wire::HeartbeatReply& aReply);
+  //! Adds the hosts named in the settings to a list of members.
+  std::vector<foundation::HostId> WithSeeds(
+    std::vector<foundation::HostId> aMembers) const;
   void ApplyUnusable(const wire::HeartbeatReply& aReply);
   void Publish();
   void PublishGroup(const wire::GroupState& aGroup);
--- a/apps/wigeonlbd/tests/hostagent_tests.cpp
+++ b/apps/wigeonlbd/tests/hostagent_tests.cpp
@@ -1,5 +1,6 @@
 #include <condition_variable>
 #include <mutex>
+#include <set>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -57,11 +58,15 @@
   return aDisk.begun_ == 2 && !aDisk.timedOut_;
 }
 
-struct NoPort : PeerPort
+//! Keeps to whom messages were sent.
+struct NamingPort : PeerPort
 {
-  void SendControl(const foundation::HostId& /*aHost*/,
+  std::set<foundation::HostId> hosts_;
+
+  void SendControl(const foundation::HostId& aHost,
                    wire::PeerMessage /*aMessage*/) override
   {
+    hosts_.insert(aHost);
   }
 };
 
@@ -93,7 +98,7 @@
   traffic::TrafficRuntime traffic_{
     MakeDaemonSettings(), 1, metrics_, {}, {}, {}
   };
-  NoPort port_;
+  NamingPort port_;
   boost::asio::io_context context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     work_{ context_.get_executor() };
@@ -152,7 +157,7 @@
   traffic::TrafficRuntime traffic_{
     MakeDaemonSettings(), 1, metrics_, {}, {}, {}
   };
-  NoPort port_;
+  NamingPort port_;
   boost::asio::io_context context_;
   HostAgent agent_{ context_,
                     MakeExpectingSettings(),
@@ -252,6 +257,22 @@
   CHECK(host.agent_.HasConfirmedConfiguration());
 }
 
+// Guards against a host that stays behind because every control member that it
+// knew was replaced while it heard none.
+TEST_CASE("a host asks the seeds that its settings name since they changed",
+          "[hostagent]")
+{
+  StartingHost host;
+  REQUIRE_FALSE(host.agent_.Start());
+  host.agent_.OnSeeds({ "b", "c" });
+  const auto end = foundation::SteadyNow() + kWaitLimitSeconds;
+  while (host.port_.hosts_.size() < 3 && foundation::SteadyNow() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    host.agent_.OnTick();
+  }
+  CHECK(host.port_.hosts_ == std::set<foundation::HostId>{ "a", "b", "c" });
+}
+
 TEST_CASE("a reply to a former start of the host changes nothing",
           "[hostagent]")
 {
--- a/packages/core/grants/tests/configurationdelivery_tests.cpp
+++ b/packages/core/grants/tests/configurationdelivery_tests.cpp
@@ -396,6 +396,23 @@
   }
 }
 
+//! Settings files name the present members; hosts read them again.
+void
+UpdateSeeds(World& aWorld)
+{
+  for (Host& host : aWorld.hosts_) {
+    std::vector<HostId> members = host.holder_.members_;
+    for (const HostId& seed : aWorld.current_.voters()) {
+      if (std::ranges::find(members, seed) == members.end()) {
+        members.push_back(seed);
+      }
+    }
+    Feed(aWorld,
+         host,
+         MembersChanged{ std::move(members), host.holder_.membersIndex_ });
+  }
+}
+
 void
 AdvanceMembers(World& aWorld)
 {
@@ -417,6 +434,7 @@
   if (aWorld.leader_.empty()) {
     ElectLeader(aWorld);
   }
+  UpdateSeeds(aWorld);
 }
 
 Violations
@@ -472,8 +490,8 @@
 {
   std::vector<std::uint64_t> seeds(100);
   std::iota(seeds.begin(), seeds.end(), 1);
-  // Most of the members that a host knew were replaced while it was cut off.
-  seeds.insert(seeds.end(), { 2836, 3118, 3344 });
+  // Most or all members that a host knew were replaced while it was cut off.
+  seeds.insert(seeds.end(), { 2836, 3118, 3344, 3415 });
   for (const std::uint64_t seed : seeds) {
     INFO("seed " << seed);
     const Violations violations = RunSchedule(seed, {});
