--- a/testing/harness/partition_tests.py
+++ b/testing/harness/partition_tests.py
@@ -12,6 +12,7 @@
 from process_tests import (FAILOVER_BOUND_S, GROUP, Load, check_gap,
                            known_primary, leader_of, try_write, primary_of,
                            run_named, started, wait_for_write)
+from refusal_tests import IN_FORCE_S, NEW_GROUP, STOPPED_S, UNKNOWN, connect
 from system import ConditionTimeout, run_sql, wait_until
 
 NOT_RUN = "57P03"
@@ -414,5 +415,26 @@
     check_gap(load.finish())
 
 
+def test_name_refused_while_cut_off(system):
+    """Guards against the refusal of a route that was added while a host is cut off."""
+    hosts = started(system, members=3, hosts=4)
+    isolated, others = hosts[-1], hosts[:-1]
+    wait_until(lambda: connect(isolated, "no-such-db") == UNKNOWN, 10,
+               "a name that does not exist is refused")
+    system.cut([isolated])
+    status, answer = others[0].statement(
+        f"create group {NEW_GROUP} with dialect = 'standin'", "late-1")
+    assert status == 200, answer
+    time.sleep(STOPPED_S)
+    results = [connect(isolated, NEW_GROUP) for _ in range(50)]
+    assert results.count(NOT_RUN) == len(results), results
+    assert connect(isolated, GROUP) == "", "a known name is refused"
+    system.heal()
+    wait_until(lambda: connect(isolated, NEW_GROUP) == "", 2 * IN_FORCE_S,
+               "the new route is accepted")
+    wait_until(lambda: connect(isolated, "no-such-db") == UNKNOWN, IN_FORCE_S,
+               "a name that does not exist is refused again")
+
+
 if __name__ == "__main__":
     sys.exit(run_named(globals(), relayed=True))
