--- a/packages/core/grants/tests/configurationdelivery_tests.cpp
+++ b/packages/core/grants/tests/configurationdelivery_tests.cpp
@@ -48,7 +48,6 @@
   bool up_ = true;
   Revision applied_ = 0;
   configuration::Delivery delivery_;
-  std::map<HostId, std::uint64_t> knownMembersIndex_;
 };
 
 struct Host
@@ -56,10 +55,9 @@
   HostId id_;
   HolderState holder_;
   HostConfiguration configuration_;
-  Instant goesOnAt_;  //!< stands still until then
-  Instant cutUntil_;  //!< reaches no member until then
-  Instant startedAt_; //!< of the present start
-  Revision highest_ = 0;
+  Instant goesOnAt_;     //!< stands still until then
+  Instant cutUntil_;     //!< reaches no member until then
+  Revision highest_ = 0; //!< in force since the present start
 };
 
 struct Message
@@ -74,8 +72,8 @@
 {
   int refusedTooEarly_ = 0; //!< by a configuration that lacks an older change
   int wentBack_ = 0;
-  int behind_ = 0;       //!< not in force in time, without trouble
-  int neverSettled_ = 0; //!< an unknown name can't be refused, without trouble
+  int behind_ = 0;      //!< not in force in time, without trouble
+  int unconfirmed_ = 0; //!< no name can be refused, without trouble
 };
 
 struct World
@@ -193,7 +191,6 @@
     MakeHolder(self, { seeds.begin(), seeds.end() }, aWorld.random_());
   aHost.configuration_ = {};
   aHost.configuration_.expected_ = true;
-  aHost.startedAt_ = aWorld.now_;
   aHost.highest_ = 0;
 }
 
@@ -327,7 +324,7 @@
   if (aWorld.now_ >= aWorld.calmAt_ + kInForceTime) {
     violations.behind_ +=
       inForce < NewestAt(aWorld, aWorld.now_ - kInForceTime) ? 1 : 0;
-    violations.neverSettled_ += confirmation == nullptr ? 1 : 0;
+    violations.unconfirmed_ += confirmation == nullptr ? 1 : 0;
   }
 }
 
@@ -498,7 +495,7 @@
     CHECK(violations.refusedTooEarly_ == 0);
     CHECK(violations.wentBack_ == 0);
     CHECK(violations.behind_ == 0);
-    CHECK(violations.neverSettled_ == 0);
+    CHECK(violations.unconfirmed_ == 0);
   }
 }
 
