--- a/testing/harness/refusal_tests.py
+++ b/testing/harness/refusal_tests.py
@@ -5,9 +5,12 @@
     refusal_tests.py --list   lists the tests
 """
 
+import os
+import random
 import socket
 import struct
 import sys
+import threading
 import time
 
 from process_tests import GROUP, run_named
@@ -19,6 +22,8 @@
 WATCHED_S = 2.0  # for which callers connect to a host that has just gone on
 UNKNOWN, NOT_RUN = "3D000", "57P03"
 NEW_GROUP = "late-db/1"
+TROUBLE_S = 30.0
+SEED = int(os.environ.get("WIGEONLB_SEED", "1"))
 
 
 class Attempt:
@@ -127,5 +132,103 @@
     fleet.check()
 
 
+class Routes(threading.Thread):
+    """Adds a route about every second, by any host that answers."""
+
+    def __init__(self, fleet):
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.stopping = threading.Event()
+        self.acknowledged = []  # (name, time)
+        self.start()
+
+    def run(self):
+        number = 0
+        while not self.stopping.wait(0.7):
+            number += 1
+            self.add(f"route-db/{number}", number)
+
+    def add(self, name, number):
+        text = f"create group {name} with dialect = 'standin'"
+        attempt = 0
+        while not self.stopping.is_set():
+            host = self.fleet.entries[(number + attempt) % len(self.fleet.entries)]
+            attempt += 1
+            status, _ = host.statement(text, f"add-{number}", timeout=1)
+            if status == 200:
+                self.acknowledged.append((name, time.monotonic()))
+                return
+
+    def in_force(self):
+        """The names that each host has to know by now."""
+        now = time.monotonic()
+        return [name for name, at in list(self.acknowledged) if now - at > IN_FORCE_S]
+
+
+class Asker(threading.Thread):
+    """Connects to one host with names that it has to know; counts the results."""
+
+    def __init__(self, routes, host):
+        super().__init__(daemon=True)
+        self.routes = routes
+        self.host = host
+        self.results = []
+        self.stopping = threading.Event()
+        self.start()
+
+    def run(self):
+        while not self.stopping.wait(0.01):
+            names = self.routes.in_force()
+            if names:
+                self.results.append(connect(self.host, names[-1]))
+
+
+def disturb(fleet, chance):
+    """Kills or stops one host for a while, and waits for some time."""
+    host = chance.choice(fleet.entries + fleet.controls())
+    seconds = chance.uniform(0.3, 4.0)
+    if chance.random() < 0.3:
+        fleet.note(f"{host.name} is killed")
+        host.kill()
+        time.sleep(min(seconds, 1.0))
+        host.start()
+    else:
+        fleet.note(f"{host.name} stands still for {seconds:.1f} s")
+        host.freeze()
+        time.sleep(seconds)
+        host.thaw()
+    time.sleep(chance.uniform(0.0, 2.0))
+
+
+def test_names_refused_under_kills_and_pauses(system):
+    """Guards against an acknowledged route that any host refuses as unknown."""
+    fleet = Fleet(system, losses=1, controls=3)
+    chance = random.Random(SEED)
+    seeds = fleet.seeds()
+    fleet.seeds = lambda: seeds
+    routes = Routes(fleet)
+    askers = [Asker(routes, host) for host in fleet.entries]
+    end = time.monotonic() + TROUBLE_S
+    while time.monotonic() < end:
+        disturb(fleet, chance)
+    routes.stopping.set()
+    routes.join()
+    time.sleep(IN_FORCE_S)
+    for asker in askers:
+        asker.stopping.set()
+        asker.join()
+        check_not_unknown(fleet, asker.host, asker.results)
+        if "" not in asker.results:
+            fleet.violated(f"{asker.host.name} accepted no session")
+    fleet.note(f"{len(routes.acknowledged)} routes")
+    for host in fleet.entries:
+        wait_until(lambda: connect(host, "no-such-db") == UNKNOWN, 10,
+                   f"{host.name} refuses a name that does not exist")
+        for name, _ in routes.acknowledged:
+            if connect(host, name) != "":
+                fleet.violated(f"{host.name} lacks {name} at the end")
+    fleet.check()
+
+
 if __name__ == "__main__":
     sys.exit(run_named(globals()))
