--- /dev/null
+++ b/packages/core/grants/tests/configurationdelivery.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+
+//! Schedules of hosts that get the configuration from control members, in
+//! virtual time: hosts stand still, are cut off and start again, members lag,
+//! are lost and replaced, and messages are late, reordered and lost.
+namespace wigeonlb::core::grants {
+
+//! Guards that can be switched off to show that the checks notice.
+struct ScheduleGuards
+{
+  bool ageOfConfirmation_ = true;
+  bool timeOfRequest_ = true; //!< rather than that of the reply's arrival
+};
+
+struct Violations
+{
+  int refusedTooEarly_ = 0; //!< by a configuration that lacks an older change
+  int wentBack_ = 0;
+  int behind_ = 0;      //!< not in force in time, without trouble
+  int unconfirmed_ = 0; //!< no name can be refused, without trouble
+};
+
+Violations
+RunSchedule(std::uint64_t aSeed, const ScheduleGuards& aGuards);
+
+} // namespace wigeonlb::core::grants
