--- a/apps/wigeonctl/explain.cpp
+++ b/apps/wigeonctl/explain.cpp
@@ -36,10 +36,20 @@
 
 //! Events that show which configuration each host had, and since when.
 constexpr std::string_view kConfigurationEvents[] = {
-  "change-answered",        "change-decided",     "configuration-answered",
-  "configuration-in-force", "configuration-sent", "host-behind",
-  "host-caught-up",         "leader-changed",     "leading",
-  "leading-ended",          "starting",
+  "change-answered",
+  "change-decided",
+  "configuration-answered",
+  "configuration-in-force",
+  "configuration-sent",
+  "host-behind",
+  "host-caught-up",
+  "leader-changed",
+  "leader-heard-again",
+  "leader-not-heard",
+  "leading",
+  "leading-ended",
+  "member-started",
+  "starting",
 };
 
 constexpr std::string_view kSessionRefused = "session-refused";
--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -245,9 +245,30 @@
     return {};
   }
   recording::RecordControlState(trace_, member_->Control());
+  LogMemberStarted();
   return {};
 }
 
+void
+ControlRuntime::LogMemberStarted() const
+{
+  const core::consensus::ReplicatedLog& log = member_->Consensus().log_;
+  const wire::MemberChange& members = core::consensus::CurrentMembers(log);
+  std::string unlinked;
+  for (const auto& [host, address] : members.addresses()) {
+    if (host != settings_.hostId_ && !memberAddresses_.contains(host)) {
+      unlinked += (unlinked.empty() ? "" : ",") + host;
+    }
+  }
+  foundation::LogChange(
+    "control",
+    "member-started",
+    { { "last", std::to_string(core::consensus::LastIndex(log)) },
+      { "voters", std::to_string(members.voters_size()) },
+      { "learners", std::to_string(members.learners_size()) },
+      { "members_without_link", unlinked } });
+}
+
 void
 ControlRuntime::Stop()
 {
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -104,6 +104,9 @@
 
 private:
   std::error_code StartMember(foundation::Findings& aFindings);
+  //! Logs the members that the stored log names, and those to which the
+  //! settings give no address.
+  void LogMemberStarted() const;
   void OnPeerMessage(wire::PeerMessage aMessage);
   void OnControlMessage(wire::PeerMessage& aMessage);
   //! Thread function: handles events, and ticks when something is due.
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -74,6 +74,7 @@
   const foundation::Instant now = SteadyNow();
   core::membership::RemoveExpired(announced_, now);
   Feed(grants::Tick{});
+  ReportContact(now);
   if (!reachedLeader_ && !configuration_.noLeaderSinceStart_ &&
       now - startedAt_ > kNoLeaderTimeoutMs) {
     configuration_.noLeaderSinceStart_ = true;
@@ -84,6 +85,28 @@
   }
 }
 
+void
+HostAgent::ReportContact(foundation::Instant aNow)
+{
+  const foundation::Instant before = leaderContact_.last_;
+  const auto change =
+    NoteLeaderContact(leaderContact_, lastLeaderContact_, aNow);
+  if (!change) {
+    return;
+  }
+  std::string asked;
+  for (const foundation::HostId& member : holder_.members_) {
+    asked += (asked.empty() ? "" : ",") + member;
+  }
+  const bool isLost = *change == ContactChange::Lost;
+  foundation::LogChange(
+    "agent",
+    isLost ? "leader-not-heard" : "leader-heard-again",
+    { { "for_ms", std::to_string(foundation::ToMilliseconds(aNow - before)) },
+      { "asked", asked },
+      { "members_index", std::to_string(holder_.membersIndex_) } });
+}
+
 void
 HostAgent::OnReply(const wire::HeartbeatReply& aReply)
 {
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "control/contactreport.h"
 #include "control/memorywriter.h"
 #include "control/peerport.h"
 #include "core/configuration/hostconfiguration.h"
@@ -155,6 +156,8 @@
   //! received last in force.
   void ApplyConfirmation(const wire::HeartbeatReply& aReply);
   void UpdateTableConfirmation();
+  //! Logs that no leader has replied for long, and which hosts were asked.
+  void ReportContact(foundation::Instant aNow);
   void PutInForce(const core::configuration::ConfigurationView& aView);
   void ApplyMembers(const wire::HeartbeatReply& aReply);
   //! Adds the hosts named in the settings to a list of members.
@@ -175,6 +178,7 @@
   foundation::Instant startedAt_ = foundation::SteadyNow();
   foundation::Instant lastLeaderContact_ = startedAt_;
   bool reachedLeader_ = false;
+  LeaderContact leaderContact_{ startedAt_ };
   core::configuration::HostConfiguration configuration_;
   //! Of the routes that were published last; null before the first, and on a
   //! host without control members.
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -5,8 +5,8 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <xxhash.h>
 
+#include "control/documentid.h"
 #include "foundation/logging.h"
 #include "operations/gauges.h"
 #include "settings/filelimit.h"
@@ -165,23 +165,23 @@
               const std::function<void(AdoptionResult)>& aDone)
 {
   wire::ConfigurationChange change;
-  // A document that is sent again gets the same change id.
-  const std::string& document = aConfiguration.document();
-  change.set_change_id(
-    "configuration-" + std::to_string(aConfiguration.number()) + "-" +
-    std::to_string(XXH3_64bits(document.data(), document.size())));
+  const std::string document =
+    control::MakeDocumentId(aConfiguration.number(), aConfiguration.document());
+  change.set_change_id(document);
   change.set_operator_name("numbered configuration");
   *change.add_operations()->mutable_adopt() = std::move(aConfiguration);
   control_->SubmitChange(
-    std::move(change), [aDone](const control::ChangeAnswer& aAnswer) {
+    std::move(change), [aDone, document](const control::ChangeAnswer& aAnswer) {
       if (aAnswer.outcome_ != control::ChangeOutcome::Decided) {
         aDone({ AdoptionOutcome::Unknown,
-                "no control leader has decided on the configuration" });
+                "no control leader has decided on the configuration",
+                document });
         return;
       }
       aDone({ aAnswer.result_.accepted() ? AdoptionOutcome::Accepted
                                          : AdoptionOutcome::Refused,
-              aAnswer.result_.message() });
+              aAnswer.result_.message(),
+              document });
     });
 }
 
--- a/apps/wigeonlbd/operations/operations.cpp
+++ b/apps/wigeonlbd/operations/operations.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <mutex>
+#include <utility>
 
+#include "control/documentid.h"
+#include "foundation/logging.h"
 #include "operations/tables.h"
 
 namespace wigeonlb::daemon::operations {
@@ -193,16 +196,32 @@
 {
   wire::OperatorQuestion question;
   question.set_document(true);
-  QueryLeader(std::move(question), [aDone](std::optional<Table> aTable) {
-    if (!aTable || aTable->rows_.empty()) {
-      aDone(std::nullopt);
-      return;
+  QueryLeader(std::move(question), [this, aDone](std::optional<Table> aTable) {
+    std::optional<ConfigurationDocument> document;
+    if (aTable && !aTable->rows_.empty()) {
+      const std::vector<std::string>& row = aTable->rows_.front();
+      document = ConfigurationDocument{ std::stoull(row[0]), row[1] };
     }
-    const std::vector<std::string>& row = aTable->rows_.front();
-    aDone(ConfigurationDocument{ std::stoull(row[0]), row[1] });
+    LogRead(document);
+    aDone(document);
   });
 }
 
+void
+Operations::LogRead(const std::optional<ConfigurationDocument>& aDocument)
+{
+  const std::string read =
+    aDocument ? control::MakeDocumentId(aDocument->number_, aDocument->text_)
+              : "none";
+  if (std::exchange(lastRead_, read) == read) {
+    return;
+  }
+  foundation::LogChange(
+    "operations",
+    "configuration-read",
+    { { "document", read }, { "leader", control_.Submitter().LeaderHint() } });
+}
+
 void
 Operations::OnQuestion(const foundation::HostId& aFrom,
                        const wire::OperatorQuestion& aQuestion)
--- a/apps/wigeonlbd/operations/operations.h
+++ b/apps/wigeonlbd/operations/operations.h
@@ -42,6 +42,9 @@
   //! Queries the control leader, which may be this host.
   void QueryLeader(wire::OperatorQuestion aQuestion,
                    OperatorQuestions::Done aDone);
+  //! Logs which document an external reader gets, whenever it is another one
+  //! than before.
+  void LogRead(const std::optional<ConfigurationDocument>& aDocument);
   //! Explains which targets a read may go to; nothing if this host is not an
   //! owner. aDone is called on the group's traffic thread.
   void ExplainLocally(const operators::ExplainReadStatement& aStatement,
@@ -58,6 +61,7 @@
   traffic::TrafficRuntime& traffic_;
   foundation::MetricsRegistry& registry_;
   OperatorQuestions questions_;
+  std::string lastRead_; //!< of a document, as it was logged
 };
 
 } // namespace wigeonlb::daemon::operations
--- a/apps/wigeonlbd/ports.h
+++ b/apps/wigeonlbd/ports.h
@@ -25,6 +25,7 @@
 {
   AdoptionOutcome outcome_ = AdoptionOutcome::Unknown;
   std::string message_;
+  std::string document_; //!< id of the document, see MakeDocumentId
 };
 
 //! The newest numbered configuration, as it was received.
