--- a/apps/wigeonlbd/control/controlpeers.cpp
+++ b/apps/wigeonlbd/control/controlpeers.cpp
@@ -57,6 +57,32 @@
   SetPeers();
 }
 
+void
+ControlRuntime::UseStoredMembers()
+{
+  if (member_ == nullptr) {
+    return;
+  }
+  const wire::MemberChange& members =
+    core::consensus::CurrentMembers(member_->Consensus().log_);
+  std::vector<foundation::HostId> names(members.voters().begin(),
+                                        members.voters().end());
+  names.insert(
+    names.end(), members.learners().begin(), members.learners().end());
+  if (names == storedMembers_) {
+    return;
+  }
+  storedMembers_ = names;
+  for (const foundation::HostId& host : names) {
+    const auto address = members.addresses().find(host);
+    if (address != members.addresses().end()) {
+      memberAddresses_.try_emplace(host, address->second);
+    }
+  }
+  SetPeers();
+  agent_->OnStoredMembers(std::move(names));
+}
+
 void
 ControlRuntime::EnsurePeer(const wire::HostInfo& aHost)
 {
--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -171,6 +171,7 @@
     foundation::AddFinding(aFindings, "--data-folder", error.message());
     return error;
   }
+  UseStoredMembers();
   thread_ = std::thread([this] { Run(); });
   return {};
 }
@@ -338,6 +339,7 @@
     nextReports_ = lastTick_ + kReportIntervalMs;
     traffic_.CollectReports();
     CheckIsolation();
+    UseStoredMembers();
     ReportMembers();
   }
 }
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -119,6 +119,10 @@
   //! Sends requests to the new control members from now on. Control members
   //! keep their links to them open.
   void ApplyMembers(const wire::MemberChange& aMembers);
+  //! Opens links to the members that this member's own log names, and asks
+  //! them. A restart of all hosts ends with a leader only if members find each
+  //! other without one, and the settings may name hosts that are gone.
+  void UseStoredMembers();
   //! Logs changes in the standing of the control members, and the lack of a
   //! leader.
   void ReportMembers();
@@ -135,6 +139,7 @@
   const target::Protocol& targets_;
   PromotionPort promote_;
   std::map<foundation::HostId, std::string> memberAddresses_;
+  std::vector<foundation::HostId> storedMembers_; //!< named by the own log
   std::vector<wire::HostInfo> hosts_;
   //! Peer addresses of hosts that sent a heartbeat and are not in hosts_ yet.
   std::map<foundation::HostId, std::string> unlistedHosts_;
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -173,11 +173,13 @@
 std::vector<foundation::HostId>
 HostAgent::WithSeeds(std::vector<foundation::HostId> aMembers) const
 {
-  for (const foundation::HostId& host : settings_.members_) {
-    if (std::ranges::find(aMembers, host) == aMembers.end()) {
-      aMembers.push_back(host);
+  const auto add = [&](const foundation::HostId& aHost) {
+    if (std::ranges::find(aMembers, aHost) == aMembers.end()) {
+      aMembers.push_back(aHost);
     }
-  }
+  };
+  std::ranges::for_each(settings_.members_, add);
+  std::ranges::for_each(storedMembers_, add);
   return aMembers;
 }
 
@@ -189,6 +191,14 @@
                                holder_.membersIndex_ });
 }
 
+void
+HostAgent::OnStoredMembers(std::vector<foundation::HostId> aMembers)
+{
+  storedMembers_ = std::move(aMembers);
+  Feed(grants::MembersChanged{ WithSeeds(holder_.members_),
+                               holder_.membersIndex_ });
+}
+
 void
 HostAgent::OnRevoke(const wire::RevokeGrant& aRevoke)
 {
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -72,6 +72,9 @@
   //! Replaces the hosts named in the settings. The control members known so far
   //! are still asked.
   void OnSeeds(std::vector<foundation::HostId> aSeeds);
+  //! Replaces the control members that this host's own log names; they are
+  //! asked like those named in the settings.
+  void OnStoredMembers(std::vector<foundation::HostId> aMembers);
   void OnReleased(const foundation::GroupName& aGroup, std::uint64_t aTerm);
   //! Brings the next heartbeat forward to receive a configuration update.
   void ExpediteHeartbeat();
@@ -160,7 +163,8 @@
   void ReportContact(foundation::Instant aNow);
   void PutInForce(const core::configuration::ConfigurationView& aView);
   void ApplyMembers(const wire::HeartbeatReply& aReply);
-  //! Adds the hosts named in the settings to a list of members.
+  //! Adds the hosts named in the settings, and by this host's own log, to a
+  //! list of members.
   std::vector<foundation::HostId> WithSeeds(
     std::vector<foundation::HostId> aMembers) const;
   void ApplyUnusable(const wire::HeartbeatReply& aReply);
@@ -175,6 +179,7 @@
   PeerPort& port_;
   traffic::TrafficRuntime& traffic_;
   core::grants::HolderState holder_;
+  std::vector<foundation::HostId> storedMembers_;
   foundation::Instant startedAt_ = foundation::SteadyNow();
   foundation::Instant lastLeaderContact_ = startedAt_;
   bool reachedLeader_ = false;
--- a/apps/wigeonlbd/tests/hostagent_tests.cpp
+++ b/apps/wigeonlbd/tests/hostagent_tests.cpp
@@ -273,6 +273,23 @@
   CHECK(host.port_.hosts_ == std::set<foundation::HostId>{ "a", "b", "c" });
 }
 
+// Guards against members that never meet after a restart of all hosts.
+TEST_CASE("a host asks the members that its own log names, also after a reload",
+          "[hostagent]")
+{
+  StartingHost host;
+  REQUIRE_FALSE(host.agent_.Start());
+  host.agent_.OnStoredMembers({ "s1", "s2" });
+  host.agent_.OnSeeds({ "b" });
+  const auto end = foundation::SteadyNow() + kWaitLimitSeconds;
+  while (host.port_.hosts_.size() < 4 && foundation::SteadyNow() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    host.agent_.OnTick();
+  }
+  CHECK(host.port_.hosts_ ==
+        std::set<foundation::HostId>{ "a", "b", "s1", "s2" });
+}
+
 TEST_CASE("a reply to a former start of the host changes nothing",
           "[hostagent]")
 {
