--- a/apps/wigeonlbd/control/controlmessages.cpp
+++ b/apps/wigeonlbd/control/controlmessages.cpp
@@ -78,9 +78,11 @@
       }
       return;
     case Body::kHeartbeat:
+      EnsurePeer(aMessage.heartbeat().sender());
       if (leader_ != nullptr) {
-        EnsurePeer(aMessage.heartbeat().sender());
         leader_->OnHeartbeat(std::move(*aMessage.mutable_heartbeat()));
+      } else {
+        agent_->OnHeartbeat(aMessage.heartbeat());
       }
       return;
     case Body::kHeartbeatReply: {
--- a/apps/wigeonlbd/control/controlpeers.cpp
+++ b/apps/wigeonlbd/control/controlpeers.cpp
@@ -99,6 +99,7 @@
   if (!known) {
     unlistedHosts_[aHost.host()] = aHost.peer_address();
     SetPeers();
+    agent_->OnSender(aHost.host());
   }
 }
 
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -163,8 +163,9 @@
     "members-changed",
     { { "voters", std::to_string(aReply.members().voters_size()) },
       { "index", std::to_string(aReply.members_index()) } });
+  members_ = aReply.members();
   if (onMembers_) {
-    onMembers_(aReply.members());
+    onMembers_(members_);
   }
   Feed(grants::MembersChanged{ WithSeeds(std::move(members)),
                                aReply.members_index() });
@@ -199,6 +200,29 @@
                                holder_.membersIndex_ });
 }
 
+void
+HostAgent::OnHeartbeat(const wire::Heartbeat& aHeartbeat)
+{
+  if (aHeartbeat.members_index() >= holder_.membersIndex_) {
+    return;
+  }
+  wire::PeerMessage message;
+  wire::HeartbeatReply& reply = *message.mutable_heartbeat_reply();
+  reply.set_from(settings_.self_.host());
+  reply.set_boot(aHeartbeat.sender().boot());
+  reply.set_sequence(aHeartbeat.sequence());
+  reply.set_sent_at_us(aHeartbeat.sent_at_us());
+  *reply.mutable_members() = members_;
+  reply.set_members_index(holder_.membersIndex_);
+  port_.SendControl(aHeartbeat.sender().host(), std::move(message));
+}
+
+void
+HostAgent::OnSender(const foundation::HostId& aHost)
+{
+  Feed(grants::SenderHeard{ aHost });
+}
+
 void
 HostAgent::OnRevoke(const wire::RevokeGrant& aRevoke)
 {
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -57,6 +57,11 @@
   //! Time at which the next tick is due.
   foundation::Instant NextDue() const { return core::grants::NextDue(holder_); }
   void OnReply(const wire::HeartbeatReply& aReply);
+  //! Answers a heartbeat that reached this host although it is no control
+  //! member: the sender hears no member, and those that it knows may be gone.
+  void OnHeartbeat(const wire::Heartbeat& aHeartbeat);
+  //! Another host has sent this one a heartbeat, and can be asked for members.
+  void OnSender(const foundation::HostId& aHost);
   void OnRevoke(const wire::RevokeGrant& aRevoke);
   void OnAnnouncement(const wire::Announcement& aAnnouncement);
   //! Handles the notice of a target, in any group, that it is shutting down and
@@ -180,6 +185,7 @@
   traffic::TrafficRuntime& traffic_;
   core::grants::HolderState holder_;
   std::vector<foundation::HostId> storedMembers_;
+  wire::MemberChange members_; //!< at holder_.membersIndex_
   foundation::Instant startedAt_ = foundation::SteadyNow();
   foundation::Instant lastLeaderContact_ = startedAt_;
   bool reachedLeader_ = false;
--- a/apps/wigeonlbd/tests/hostagent_tests.cpp
+++ b/apps/wigeonlbd/tests/hostagent_tests.cpp
@@ -1,4 +1,5 @@
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -58,15 +59,17 @@
   return aDisk.begun_ == 2 && !aDisk.timedOut_;
 }
 
-//! Keeps to whom messages were sent.
+//! Keeps to whom messages were sent, and the last one to each.
 struct NamingPort : PeerPort
 {
   std::set<foundation::HostId> hosts_;
+  std::map<foundation::HostId, wire::PeerMessage> messages_;
 
   void SendControl(const foundation::HostId& aHost,
-                   wire::PeerMessage /*aMessage*/) override
+                   wire::PeerMessage aMessage) override
   {
     hosts_.insert(aHost);
+    messages_[aHost] = std::move(aMessage);
   }
 };
 
@@ -290,6 +293,45 @@
         std::set<foundation::HostId>{ "a", "b", "s1", "s2" });
 }
 
+TEST_CASE(
+  "a host that is no member answers a heartbeat with newer members only",
+  "[hostagent]")
+{
+  const auto [known, asked, answers] =
+    GENERATE(table<std::uint64_t, std::uint64_t, bool>({ { 0, 0, false },
+                                                         { 9, 0, true },
+                                                         { 9, 8, true },
+                                                         { 9, 9, false },
+                                                         { 9, 12, false } }));
+  CAPTURE(known, asked);
+  StartingHost host;
+  REQUIRE_FALSE(host.agent_.Start());
+  wire::HeartbeatReply told;
+  told.set_from("a");
+  told.mutable_members()->add_voters("v");
+  told.set_members_index(known);
+  host.agent_.OnReply(told);
+  host.port_.messages_.clear();
+  wire::Heartbeat heartbeat;
+  heartbeat.mutable_sender()->set_host("lost");
+  heartbeat.mutable_sender()->set_boot(7);
+  heartbeat.set_sequence(3);
+  heartbeat.set_members_index(asked);
+  host.agent_.OnHeartbeat(heartbeat);
+  REQUIRE(host.port_.messages_.contains("lost") == answers);
+  if (answers) {
+    const wire::HeartbeatReply& reply =
+      host.port_.messages_.at("lost").heartbeat_reply();
+    CHECK(reply.members().voters(0) == "v");
+    CHECK(reply.members_index() == known);
+    CHECK(reply.boot() == 7);
+    CHECK(reply.sequence() == 3);
+    CHECK_FALSE(reply.leader());
+    CHECK_FALSE(reply.confirmed());
+    CHECK(reply.leader_hint().empty());
+  }
+}
+
 TEST_CASE("a reply to a former start of the host changes nothing",
           "[hostagent]")
 {
--- a/packages/core/grants/holder.cpp
+++ b/packages/core/grants/holder.cpp
@@ -180,6 +180,18 @@
     stays ? static_cast<std::size_t>(member - aState.members_.begin())
           : aState.random_() % aState.members_.size();
   aState.ignoreHintsUntil_ = {};
+  if (IsSilent(aState)) {
+    AskAllMembers(aState);
+  }
+}
+
+void
+StoreSender(HolderState& aState, const SenderHeard& aHeard)
+{
+  const bool isOther = aHeard.host_ != aState.self_.host();
+  if (isOther && aState.senders_.size() < kMaxSenders) {
+    aState.senders_.insert(aHeard.host_);
+  }
 }
 
 //! Announces the shutdown, so that other hosts stop choosing this owner. Its
@@ -244,6 +256,7 @@
         aState.revision_ = aRevision.revision_;
       },
       [&](const MembersChanged& aChanged) { ApplyMembers(aState, aChanged); },
+      [&](const SenderHeard& aHeard) { StoreSender(aState, aHeard); },
       [&](const DrainingStarted&) { StartDraining(aState); },
     },
     aEvent);
--- a/packages/core/grants/holder.h
+++ b/packages/core/grants/holder.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -62,6 +63,13 @@
 //! time within which a change has to be in force everywhere.
 constexpr std::size_t kMembersInTurn = 2;
 
+//! So many hosts that are no members are asked at once for the members that
+//! they know, when no member responds.
+constexpr std::size_t kOtherHostsAsked = 3;
+
+//! So many senders of heartbeats are kept as hosts to ask.
+constexpr std::size_t kMaxSenders = 64;
+
 //! How long transactions in flight may continue after a revocation.
 constexpr foundation::Duration kReleaseDrainMs = std::chrono::milliseconds(150);
 
@@ -123,6 +131,10 @@
   foundation::Instant urgentUntil_;
   foundation::Duration backOff_{ 0 };
   bool askAll_ = false; //!< the next heartbeat goes to all members
+  //! The next heartbeat also goes to some hosts that are no members.
+  bool askOthers_ = false;
+  //! Hosts that have sent this one a heartbeat, and so know some members.
+  std::set<foundation::HostId> senders_;
   std::mt19937_64 random_;
   //! Disables the check for the end of the lease; for tests that show that it
   //! is needed.
@@ -175,6 +187,11 @@
   std::vector<foundation::HostId> members_;
   std::uint64_t index_ = 0; //!< log index of the change, for heartbeats
 };
+//! Another host has sent this one a heartbeat.
+struct SenderHeard
+{
+  foundation::HostId host_;
+};
 //! The host is shutting down. Its grants remain in use until DrainedForRelease.
 struct DrainingStarted
 {};
@@ -187,6 +204,7 @@
                                  ShareInUse,
                                  RevisionInForce,
                                  MembersChanged,
+                                 SenderHeard,
                                  DrainingStarted>;
 
 struct SendHeartbeat
--- a/packages/core/grants/internal/holdercontact.cpp
+++ b/packages/core/grants/internal/holdercontact.cpp
@@ -1,6 +1,8 @@
 #include "core/grants/internal/holdercontact.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace wigeonlb::core::grants::internal {
@@ -119,8 +121,55 @@
   }
 }
 
+//! The hosts that this one knows and that are no members.
+std::vector<foundation::HostId>
+ListOtherHosts(const HolderState& aState)
+{
+  std::set<foundation::HostId> others = aState.senders_;
+  for (const auto& [name, host] : aState.hosts_) {
+    others.insert(name);
+  }
+  others.erase(aState.self_.host());
+  for (const foundation::HostId& member : aState.members_) {
+    others.erase(member);
+  }
+  return { others.begin(), others.end() };
+}
+
+//! Sends some other hosts a heartbeat. They answer with the members that they
+//! know.
+void
+AskOtherHosts(HolderState& aState,
+              Instant aNow,
+              std::vector<HolderAction>& aActions)
+{
+  std::vector<foundation::HostId> asked;
+  std::ranges::sample(ListOtherHosts(aState),
+                      std::back_inserter(asked),
+                      kOtherHostsAsked,
+                      aState.random_);
+  for (const foundation::HostId& host : asked) {
+    SendHeartbeat send{ host, MakeHeartbeat(aState, aNow) };
+    send.heartbeat_.set_relay(false);
+    aActions.emplace_back(std::move(send));
+  }
+}
+
 } // namespace
 
+bool
+IsSilent(const HolderState& aState)
+{
+  return aState.backOff_ >= kAskAllBackOffMs;
+}
+
+void
+AskAllMembers(HolderState& aState)
+{
+  aState.askAll_ = true;
+  RequestUrgentHeartbeat(aState);
+}
+
 void
 RequestUrgentHeartbeat(HolderState& aState)
 {
@@ -152,8 +201,8 @@
     std::max<Duration>(2 * aState.backOff_, kUrgentIntervalMs);
   aState.backOff_ = std::min<Duration>(longer, kMaxBackOffMs);
   aState.nextHeartbeat_ = aNow + AddJitter(aState, aState.backOff_);
-  aState.askAll_ = aState.backOff_ >= kAskAllBackOffMs &&
-                   aState.members_.size() > kMembersInTurn;
+  aState.askAll_ = IsSilent(aState) && aState.members_.size() > kMembersInTurn;
+  aState.askOthers_ = IsSilent(aState);
 }
 
 void
@@ -173,6 +222,9 @@
   if (std::exchange(aState.askAll_, false)) {
     AskOtherMembers(aState, aNow, aActions);
   }
+  if (std::exchange(aState.askOthers_, false)) {
+    AskOtherHosts(aState, aNow, aActions);
+  }
 }
 
 void
--- a/packages/core/grants/internal/holdercontact.h
+++ b/packages/core/grants/internal/holdercontact.h
@@ -16,6 +16,15 @@
 void
 ScheduleHeartbeatWithin(HolderState& aState, foundation::Duration aInterval);
 
+//! Whether members in turn have not responded for long: most of those that this
+//! host knows may have been replaced.
+bool
+IsSilent(const HolderState& aState);
+
+//! Schedules a heartbeat to each member.
+void
+AskAllMembers(HolderState& aState);
+
 //! Follows the next member if the current one does not respond in time. The
 //! wait grows with each attempt, so that hosts do not overload the remaining
 //! members.
--- a/packages/core/grants/tests/configurationdelivery.cpp
+++ b/packages/core/grants/tests/configurationdelivery.cpp
@@ -45,9 +45,10 @@
   HostId id_;
   HolderState holder_;
   HostConfiguration configuration_;
-  Instant goesOnAt_;     //!< stands still until then
-  Instant cutUntil_;     //!< reaches no member until then
-  Revision highest_ = 0; //!< in force since the present start
+  Instant goesOnAt_;           //!< stands still until then
+  Instant cutUntil_;           //!< reaches no other host until then
+  wire::MemberChange members_; //!< as last told
+  Revision highest_ = 0;       //!< in force since the present start
 };
 
 struct Message
@@ -62,6 +63,7 @@
 {
   std::mt19937_64 random_;
   ScheduleGuards guards_;
+  MemberSource source_ = MemberSource::Seeds;
   Instant now_{ 1h };
   Instant calmAt_;
   Instant nextLossAt_;
@@ -137,6 +139,21 @@
   ++aWorld.membersIndex_;
 }
 
+//! Where other hosts are the source of members, all members are replaced during
+//! one cut.
+Duration
+GetLossInterval(const World& aWorld)
+{
+  return aWorld.source_ == MemberSource::Seeds ? kLossInterval : 1500ms;
+}
+
+Duration
+DrawCut(World& aWorld)
+{
+  const bool isShort = aWorld.source_ == MemberSource::Seeds;
+  return Duration(Draw(aWorld, isShort ? 5'000'000 : 20'000'000));
+}
+
 //! Replaces a member that does not lead for good.
 void
 ReplaceMember(World& aWorld)
@@ -146,7 +163,7 @@
   if (*lost == aWorld.leader_ || aWorld.now_ < aWorld.nextLossAt_) {
     return;
   }
-  aWorld.nextLossAt_ = aWorld.now_ + kLossInterval;
+  aWorld.nextLossAt_ = aWorld.now_ + GetLossInterval(aWorld);
   aWorld.members_.at(*lost).up_ = false;
   voters.erase(lost);
   AddMember(aWorld);
@@ -171,6 +188,10 @@
   const auto& seeds = aWorld.current_.voters();
   aHost.holder_ =
     MakeHolder(self, { seeds.begin(), seeds.end() }, aWorld.random_());
+  for (std::size_t number = 0; number < kHosts; ++number) {
+    const HostId other = "h" + std::to_string(number);
+    aHost.holder_.hosts_[other].set_host(other);
+  }
   aHost.configuration_ = {};
   aHost.configuration_.expected_ = true;
   aHost.highest_ = 0;
@@ -268,6 +289,7 @@
   }
   if (aReply.has_members() &&
       aReply.members_index() > aHost.holder_.membersIndex_) {
+    aHost.members_ = aReply.members();
     Feed(aWorld,
          aHost,
          MembersChanged{ { aReply.members().voters().begin(),
@@ -286,6 +308,25 @@
   Feed(aWorld, aHost, RevisionInForce{ state.inForce_.state_.revision() });
 }
 
+//! A host that is no member answers with newer members only.
+void
+AnswerWithMembers(World& aWorld,
+                  const Host& aHost,
+                  const wire::Heartbeat& aHeartbeat)
+{
+  if (aHeartbeat.members_index() >= aHost.holder_.membersIndex_) {
+    return;
+  }
+  wire::HeartbeatReply reply;
+  reply.set_from(aHost.id_);
+  reply.set_boot(aHeartbeat.sender().boot());
+  reply.set_sequence(aHeartbeat.sequence());
+  reply.set_sent_at_us(aHeartbeat.sent_at_us());
+  *reply.mutable_members() = aHost.members_;
+  reply.set_members_index(aHost.holder_.membersIndex_);
+  Send(aWorld, { {}, aHeartbeat.sender().host(), {}, std::move(reply) });
+}
+
 //! Checks what the host would tell a caller at this moment.
 void
 Judge(World& aWorld, Host& aHost)
@@ -336,23 +377,47 @@
       ReceiveHeartbeat(aWorld,
                        aWorld.members_.at(message.to_),
                        std::move(*message.heartbeat_));
-    } else if (aWorld.now_ >= host->cutUntil_) {
+    } else if (aWorld.now_ < host->cutUntil_) {
+      continue;
+    } else if (message.heartbeat_) {
+      AnswerWithMembers(aWorld, *host, *message.heartbeat_);
+    } else {
       ReceiveReply(aWorld, *host, std::move(*message.reply_));
       Judge(aWorld, *host);
     }
   }
 }
 
+//! Without settings to read, a host that starts again could find nobody, and
+//! one host at least must hear of each change of members.
+bool
+IsSpared(const World& aWorld, const Host& aHost, std::uint64_t aTrouble)
+{
+  constexpr std::uint64_t kPause = 0;
+  constexpr std::uint64_t kCut = 1;
+  constexpr std::uint64_t kRestart = 2;
+  if (aWorld.source_ == MemberSource::Seeds) {
+    return false;
+  }
+  const bool isFirst = &aHost == &aWorld.hosts_.front();
+  return aTrouble == kRestart ||
+         (isFirst && (aTrouble == kPause || aTrouble == kCut));
+}
+
 void
 Disturb(World& aWorld)
 {
   Host& host = aWorld.hosts_[Draw(aWorld, kHosts)];
-  switch (Draw(aWorld, 6)) {
+  const std::uint64_t trouble = Draw(aWorld, 6);
+  if (IsSpared(aWorld, host, trouble)) {
+    return;
+  }
+  switch (trouble) {
     case 0:
       host.goesOnAt_ = aWorld.now_ + Duration(Draw(aWorld, 5'000'000));
       return;
     case 1:
-      host.cutUntil_ = aWorld.now_ + Duration(Draw(aWorld, 5'000'000));
+      host.cutUntil_ = aWorld.now_ + DrawCut(aWorld);
       return;
     case 2:
       StartHost(aWorld, host);
@@ -413,16 +478,21 @@
   if (aWorld.leader_.empty()) {
     ElectLeader(aWorld);
   }
-  UpdateSeeds(aWorld);
+  if (aWorld.source_ == MemberSource::Seeds) {
+    UpdateSeeds(aWorld);
+  }
 }
 
 } // namespace
 
 Violations
-RunSchedule(std::uint64_t aSeed, const ScheduleGuards& aGuards)
+RunSchedule(std::uint64_t aSeed,
+            const ScheduleGuards& aGuards,
+            MemberSource aSource)
 {
   World world;
   world.random_.seed(aSeed);
+  world.source_ = aSource;
   world.guards_ = aGuards;
   world.calmAt_ = world.now_ + kTroubleTime;
   for (std::size_t number = 0; number < kMembers; ++number) {
--- a/packages/core/grants/tests/configurationdelivery.h
+++ b/packages/core/grants/tests/configurationdelivery.h
@@ -22,7 +22,16 @@
   int unconfirmed_ = 0; //!< no name can be refused, without trouble
 };
 
+//! What hosts can find members by, other than the members that they know.
+enum class MemberSource
+{
+  Seeds,      //!< settings that name the present members in the end
+  OtherHosts, //!< one other host that is never cut off, and no settings
+};
+
 Violations
-RunSchedule(std::uint64_t aSeed, const ScheduleGuards& aGuards);
+RunSchedule(std::uint64_t aSeed,
+            const ScheduleGuards& aGuards,
+            MemberSource aSource = MemberSource::Seeds);
 
 } // namespace wigeonlb::core::grants
--- a/packages/core/grants/tests/configurationdelivery_tests.cpp
+++ b/packages/core/grants/tests/configurationdelivery_tests.cpp
@@ -27,6 +27,22 @@
   }
 }
 
+// Guards against hosts that stay outside because all members that they know are
+// gone, though another host knows the present ones.
+TEST_CASE("each host finds the present members by another host",
+          "[delivery][schedule]")
+{
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    INFO("seed " << seed);
+    const Violations violations =
+      RunSchedule(seed, {}, MemberSource::OtherHosts);
+    CHECK(violations.refusedTooEarly_ == 0);
+    CHECK(violations.wentBack_ == 0);
+    CHECK(violations.behind_ == 0);
+    CHECK(violations.unconfirmed_ == 0);
+  }
+}
+
 TEST_CASE("the schedules notice a confirmation that is taken for younger than "
           "it is",
           "[delivery][schedule]")
