--- a/packages/http/internal/responseconversion.cpp
+++ b/packages/http/internal/responseconversion.cpp
@@ -1,12 +1,13 @@
 #include "http/internal/responseconversion.h"
 
-#include <charconv>
 #include <string>
 
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/field.hpp>
 
+#include "foundation/parsenumber.h"
+
 namespace wigeonlb::http {
 
 namespace beast = boost::beast;
@@ -41,9 +42,8 @@
 {
   const std::size_t colon = aAddress.rfind(':');
   std::uint16_t port = 0;
-  const char* const end = aAddress.data() + aAddress.size();
   if (colon == std::string_view::npos ||
-      std::from_chars(aAddress.data() + colon + 1, end, port).ptr != end) {
+      !foundation::ParseNumber(aAddress.substr(colon + 1), port)) {
     aError = boost::asio::error::invalid_argument;
     return {};
   }
--- a/packages/operator/plan.cpp
+++ b/packages/operator/plan.cpp
@@ -1,7 +1,8 @@
 #include "operator/plan.h"
 
 #include <algorithm>
-#include <charconv>
+
+#include "foundation/parsenumber.h"
 
 namespace wigeonlb::operators {
 
@@ -43,8 +44,7 @@
   aState.options_[{ aRow.Get("group"), key }] = value;
   if (key == "revision") {
     foundation::Revision revision = 0;
-    const char* const end = value.data() + value.size();
-    if (std::from_chars(value.data(), end, revision).ptr == end) {
+    if (foundation::ParseNumber(value, revision)) {
       aState.revision_ = revision;
     }
   }
