--- a/packages/target/dialect.cpp
+++ b/packages/target/dialect.cpp
@@ -1,10 +1,10 @@
 #include "target/dialect.h"
 
-#include <charconv>
 #include <chrono>
 
 #include <xxhash.h>
 
+#include "foundation/parsenumber.h"
 #include "target/targeterrors.h"
 
 namespace wigeonlb::target {
@@ -53,15 +53,11 @@
     "SET TRANSACTION READ ONLY" },
 };
 
+template<std::integral Number>
 bool
-ReadNumber(const Field& aField, int aBase, std::uint64_t& aNumber)
+ReadNumber(const Field& aField, int aBase, Number& aNumber)
 {
-  if (!aField) {
-    return false;
-  }
-  const char* const end = aField->data() + aField->size();
-  const auto result = std::from_chars(aField->data(), end, aNumber, aBase);
-  return result.ec == std::errc() && result.ptr == end;
+  return aField && foundation::ParseNumber(*aField, aNumber, aBase);
 }
 
 //! Reads a decimal number of bytes, or PostgreSQL's format of two hexadecimal
@@ -76,14 +72,14 @@
   if (slash == std::string_view::npos) {
     return ReadNumber(aField, 10, aOffset);
   }
-  std::uint64_t high = 0;
-  std::uint64_t low = 0;
+  std::uint32_t high = 0;
+  std::uint32_t low = 0;
   if (!ReadNumber(aField->substr(0, slash), 16, high) ||
       !ReadNumber(aField->substr(slash + 1), 16, low)) {
     return false;
   }
   constexpr int kHalfBits = 32;
-  aOffset = (high << kHalfBits) + low;
+  aOffset = (std::uint64_t{ high } << kHalfBits) + low;
   return true;
 }
 
