--- a/apps/wigeonlbd/settings/addresses.cpp
+++ b/apps/wigeonlbd/settings/addresses.cpp
@@ -1,12 +1,13 @@
 #include "settings/addresses.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <string>
 
 #include <boost/asio/ip/address.hpp>
 
+#include "foundation/parsenumber.h"
+
 namespace wigeonlb::daemon::settings {
 
 using foundation::AddFinding;
@@ -19,14 +20,6 @@
 
 } // namespace
 
-bool
-ReadNumber(std::string_view aText, std::uint64_t& aNumber)
-{
-  const char* const end = aText.data() + aText.size();
-  const auto result = std::from_chars(aText.data(), end, aNumber);
-  return result.ec == std::errc() && result.ptr == end;
-}
-
 bool
 IsValidName(std::string_view aText)
 {
@@ -44,14 +37,14 @@
   if (colon == std::string_view::npos) {
     return false;
   }
-  std::uint64_t port = 0;
+  std::uint16_t port = 0;
   boost::system::error_code error;
   const std::string ip(aText.substr(0, colon));
   boost::asio::ip::make_address(ip, error);
-  if (error || !ReadNumber(aText.substr(colon + 1), port) || port > 65535) {
+  if (error || !foundation::ParseNumber(aText.substr(colon + 1), port)) {
     return false;
   }
-  aAddress = ListenAddress{ ip, static_cast<std::uint16_t>(port) };
+  aAddress = ListenAddress{ ip, port };
   return true;
 }
 
--- a/apps/wigeonlbd/settings/addresses.h
+++ b/apps/wigeonlbd/settings/addresses.h
@@ -9,10 +9,6 @@
 //! Parsers for names, addresses and lists of hosts in settings.
 namespace wigeonlb::daemon::settings {
 
-//! Parses a decimal number. Returns false unless the whole text is one.
-bool
-ReadNumber(std::string_view aText, std::uint64_t& aNumber);
-
 //! Whether a name has 1 to 63 characters, all of them letters, digits, `-`, `_`
 //! or `.`.
 bool
--- a/apps/wigeonlbd/settings/daemonsettings.cpp
+++ b/apps/wigeonlbd/settings/daemonsettings.cpp
@@ -1,5 +1,6 @@
 #include "settings/daemonsettings.h"
 
+#include "foundation/parsenumber.h"
 #include "settings/addresses.h"
 
 #include <algorithm>
@@ -24,7 +25,8 @@
             Findings& aFindings)
 {
   std::uint64_t number = 0;
-  if (!ReadNumber(aText, number) || number < aMinimum || number > aMaximum) {
+  if (!foundation::ParseNumber(aText, number) || number < aMinimum ||
+      number > aMaximum) {
     AddFinding(aFindings,
                std::string(aLocation),
                "expected a whole number from " + std::to_string(aMinimum) +
--- a/packages/core/configuration/groupoptions.cpp
+++ b/packages/core/configuration/groupoptions.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
+
+#include "foundation/parsenumber.h"
 
 namespace wigeonlb::core::configuration {
 
@@ -182,14 +183,6 @@
              "of a full queue that one tenant may hold" },
 };
 
-bool
-ParseNumber(std::string_view aText, std::int64_t& aNumber)
-{
-  const char* end = aText.data() + aText.size();
-  const auto result = std::from_chars(aText.data(), end, aNumber);
-  return result.ec == std::errc() && result.ptr == end && !aText.empty();
-}
-
 bool
 IsWord(std::string_view aText)
 {
@@ -239,7 +232,7 @@
     case OptionType::Word:
       return IsWord(aValue) ? "" : "expected a lower-case name";
     case OptionType::Number:
-      if (!ParseNumber(aValue, number)) {
+      if (!foundation::ParseNumber(aValue, number)) {
         return "expected a whole number";
       }
       break;
@@ -279,7 +272,7 @@
 ToNumber(std::string_view aText)
 {
   std::int64_t number = 0;
-  ParseNumber(aText, number);
+  foundation::ParseNumber(aText, number);
   return number;
 }
 
@@ -356,7 +349,8 @@
   const std::size_t digits =
     std::min(aText.find_first_not_of("0123456789"), aText.size());
   std::int64_t count = 0;
-  if (!ParseNumber(aText.substr(0, digits), count) || count > kDayUs) {
+  if (!foundation::ParseNumber(aText.substr(0, digits), count) ||
+      count > kDayUs) {
     return false;
   }
   for (const Unit& unit : kUnits) {
