--- a/packages/announcements/announcement.cpp
+++ b/packages/announcements/announcement.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "foundation/networkaddress.h"
+#include "http/jsonobject.h"
 
 namespace wigeonlb::announcements {
 
@@ -133,11 +134,8 @@
 ParseAnnouncement(std::string_view aJson, Findings& aFindings)
 {
   wire::Announcement result;
-  const json object = json::parse(aJson, nullptr, false);
-  if (!object.is_object()) {
-    const char* text =
-      object.is_discarded() ? "not JSON" : "expected an object";
-    AddFinding(aFindings, "/", text);
+  const json object = http::ParseJsonObject(aJson, aFindings);
+  if (!aFindings.empty()) {
     return result;
   }
   for (const auto& [name, value] : object.items()) {
