--- a/packages/core/grants/tests/configurationdelivery.cpp
+++ b/packages/core/grants/tests/configurationdelivery.cpp
@@ -29,7 +29,8 @@
 //! Between two losses for good of a member.
 constexpr Duration kLossInterval = 6s;
 constexpr std::size_t kHosts = 3;
-constexpr std::size_t kMembers = 3;
+constexpr std::size_t kVoters = 3;
+constexpr std::size_t kSeeds = 3;
 
 //! A control member: the revision that it has applied, and what it has sent.
 struct Member
@@ -62,8 +63,7 @@
 struct World
 {
   std::mt19937_64 random_;
-  ScheduleGuards guards_;
-  MemberSource source_ = MemberSource::Seeds;
+  ScheduleSettings settings_;
   Instant now_{ 1h };
   Instant calmAt_;
   Instant nextLossAt_;
@@ -135,22 +135,49 @@
 {
   const HostId id = "m" + std::to_string(++aWorld.lastMember_);
   aWorld.members_[id].id_ = id;
-  aWorld.current_.add_voters(id);
+  if (aWorld.current_.voters_size() < static_cast<int>(kVoters)) {
+    aWorld.current_.add_voters(id);
+  } else {
+    aWorld.current_.add_learners(id);
+  }
   ++aWorld.membersIndex_;
 }
 
+std::vector<HostId>
+ListMembers(const wire::MemberChange& aMembers)
+{
+  std::vector<HostId> names(aMembers.voters().begin(), aMembers.voters().end());
+  names.insert(
+    names.end(), aMembers.learners().begin(), aMembers.learners().end());
+  return names;
+}
+
+//! Returns whether the name was there.
+template<class Names>
+bool
+RemoveName(Names& aNames, const HostId& aName)
+{
+  const auto found = std::ranges::find(aNames, aName);
+  if (found == aNames.end()) {
+    return false;
+  }
+  aNames.erase(found);
+  return true;
+}
+
 //! Where other hosts are the source of members, all members are replaced during
 //! one cut.
 Duration
 GetLossInterval(const World& aWorld)
 {
-  return aWorld.source_ == MemberSource::Seeds ? kLossInterval : 1500ms;
+  return aWorld.settings_.source_ == MemberSource::Seeds ? kLossInterval
+                                                         : 1500ms;
 }
 
 Duration
 DrawCut(World& aWorld)
 {
-  const bool isShort = aWorld.source_ == MemberSource::Seeds;
+  const bool isShort = aWorld.settings_.source_ == MemberSource::Seeds;
   return Duration(Draw(aWorld, isShort ? 5'000'000 : 20'000'000));
 }
 
@@ -158,14 +185,16 @@
 void
 ReplaceMember(World& aWorld)
 {
-  auto& voters = *aWorld.current_.mutable_voters();
-  const auto lost = voters.begin() + static_cast<int>(Draw(aWorld, kMembers));
-  if (*lost == aWorld.leader_ || aWorld.now_ < aWorld.nextLossAt_) {
+  const std::vector<HostId> members = ListMembers(aWorld.current_);
+  const HostId& lost = members[Draw(aWorld, members.size())];
+  if (lost == aWorld.leader_ || aWorld.now_ < aWorld.nextLossAt_) {
     return;
   }
   aWorld.nextLossAt_ = aWorld.now_ + GetLossInterval(aWorld);
-  aWorld.members_.at(*lost).up_ = false;
-  voters.erase(lost);
+  aWorld.members_.at(lost).up_ = false;
+  if (!RemoveName(*aWorld.current_.mutable_voters(), lost)) {
+    RemoveName(*aWorld.current_.mutable_learners(), lost);
+  }
   AddMember(aWorld);
 }
 
@@ -173,7 +202,7 @@
 ElectLeader(World& aWorld)
 {
   const auto& voters = aWorld.current_.voters();
-  aWorld.leader_ = voters[static_cast<int>(Draw(aWorld, kMembers))];
+  aWorld.leader_ = voters[static_cast<int>(Draw(aWorld, kVoters))];
   Member& leader = aWorld.members_.at(aWorld.leader_);
   leader.applied_ = Newest(aWorld);
   leader.up_ = true;
@@ -185,9 +214,9 @@
   wire::HostInfo self;
   self.set_host(aHost.id_);
   self.set_boot(++aWorld.lastBoot_);
-  const auto& seeds = aWorld.current_.voters();
-  aHost.holder_ =
-    MakeHolder(self, { seeds.begin(), seeds.end() }, aWorld.random_());
+  std::vector<HostId> seeds = ListMembers(aWorld.current_);
+  seeds.resize(kSeeds);
+  aHost.holder_ = MakeHolder(self, std::move(seeds), aWorld.random_());
   for (std::size_t number = 0; number < kHosts; ++number) {
     const HostId other = "h" + std::to_string(number);
     aHost.holder_.hosts_[other].set_host(other);
@@ -290,13 +319,12 @@
   if (aReply.has_members() &&
       aReply.members_index() > aHost.holder_.membersIndex_) {
     aHost.members_ = aReply.members();
-    Feed(aWorld,
-         aHost,
-         MembersChanged{ { aReply.members().voters().begin(),
-                           aReply.members().voters().end() },
-                         aReply.members_index() });
+    Feed(
+      aWorld,
+      aHost,
+      MembersChanged{ ListMembers(aReply.members()), aReply.members_index() });
   }
-  if (!aWorld.guards_.timeOfRequest_) {
+  if (!aWorld.settings_.guards_.timeOfRequest_) {
     aReply.set_sent_at_us(aWorld.now_.time_since_epoch().count());
   }
   HostConfiguration& state = aHost.configuration_;
@@ -335,7 +363,7 @@
   const auto* confirmation =
     configuration::FindConfirmation(aHost.configuration_);
   const bool mayRefuse =
-    aWorld.guards_.ageOfConfirmation_
+    aWorld.settings_.guards_.ageOfConfirmation_
       ? configuration::MayRefuseNames(confirmation, aWorld.now_)
       : confirmation != nullptr;
   const Instant since = aWorld.now_ - configuration::kConfirmationLifetimeMs;
@@ -396,7 +424,7 @@
   constexpr std::uint64_t kPause = 0;
   constexpr std::uint64_t kCut = 1;
   constexpr std::uint64_t kRestart = 2;
-  if (aWorld.source_ == MemberSource::Seeds) {
+  if (aWorld.settings_.source_ == MemberSource::Seeds) {
     return false;
   }
   const bool isFirst = &aHost == &aWorld.hosts_.front();
@@ -430,8 +458,9 @@
       return;
     default: {
       // A member starts again from its snapshot.
-      Member& member = aWorld.members_.at(
-        aWorld.current_.voters(static_cast<int>(Draw(aWorld, kMembers))));
+      const std::vector<HostId> members = ListMembers(aWorld.current_);
+      Member& member =
+        aWorld.members_.at(members[Draw(aWorld, members.size())]);
       if (member.id_ != aWorld.leader_) {
         member.applied_ = Draw(aWorld, member.applied_ + 1);
         member.delivery_ = {};
@@ -446,7 +475,7 @@
 {
   for (Host& host : aWorld.hosts_) {
     std::vector<HostId> members = host.holder_.members_;
-    for (const HostId& seed : aWorld.current_.voters()) {
+    for (const HostId& seed : ListMembers(aWorld.current_)) {
       if (std::ranges::find(members, seed) == members.end()) {
         members.push_back(seed);
       }
@@ -478,7 +507,7 @@
   if (aWorld.leader_.empty()) {
     ElectLeader(aWorld);
   }
-  if (aWorld.source_ == MemberSource::Seeds) {
+  if (aWorld.settings_.source_ == MemberSource::Seeds) {
     UpdateSeeds(aWorld);
   }
 }
@@ -486,16 +515,13 @@
 } // namespace
 
 Violations
-RunSchedule(std::uint64_t aSeed,
-            const ScheduleGuards& aGuards,
-            MemberSource aSource)
+RunSchedule(std::uint64_t aSeed, const ScheduleSettings& aSettings)
 {
   World world;
   world.random_.seed(aSeed);
-  world.source_ = aSource;
-  world.guards_ = aGuards;
+  world.settings_ = aSettings;
   world.calmAt_ = world.now_ + kTroubleTime;
-  for (std::size_t number = 0; number < kMembers; ++number) {
+  for (std::size_t number = 0; number < aSettings.members_; ++number) {
     AddMember(world);
   }
   ElectLeader(world);
--- a/packages/core/grants/tests/configurationdelivery.h
+++ b/packages/core/grants/tests/configurationdelivery.h
@@ -29,9 +29,15 @@
   OtherHosts, //!< one other host that is never cut off, and no settings
 };
 
+struct ScheduleSettings
+{
+  ScheduleGuards guards_;
+  MemberSource source_ = MemberSource::Seeds;
+  //! Of them three are voters; the others answer hosts and never lead.
+  std::size_t members_ = 3;
+};
+
 Violations
-RunSchedule(std::uint64_t aSeed,
-            const ScheduleGuards& aGuards,
-            MemberSource aSource = MemberSource::Seeds);
+RunSchedule(std::uint64_t aSeed, const ScheduleSettings& aSettings);
 
 } // namespace wigeonlb::core::grants
--- a/packages/core/grants/tests/configurationdelivery_tests.cpp
+++ b/packages/core/grants/tests/configurationdelivery_tests.cpp
@@ -13,13 +13,15 @@
           "only by it",
           "[delivery][schedule]")
 {
+  const std::size_t members = GENERATE(3U, 4U);
+  CAPTURE(members);
   std::vector<std::uint64_t> seeds(100);
   std::iota(seeds.begin(), seeds.end(), 1);
   // Most or all members that a host knew were replaced while it was cut off.
   seeds.insert(seeds.end(), { 2836, 3118, 3344, 3415 });
   for (const std::uint64_t seed : seeds) {
     INFO("seed " << seed);
-    const Violations violations = RunSchedule(seed, {});
+    const Violations violations = RunSchedule(seed, { .members_ = members });
     CHECK(violations.refusedTooEarly_ == 0);
     CHECK(violations.wentBack_ == 0);
     CHECK(violations.behind_ == 0);
@@ -32,10 +34,12 @@
 TEST_CASE("each host finds the present members by another host",
           "[delivery][schedule]")
 {
+  const std::size_t members = GENERATE(3U, 4U);
+  CAPTURE(members);
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     INFO("seed " << seed);
-    const Violations violations =
-      RunSchedule(seed, {}, MemberSource::OtherHosts);
+    const Violations violations = RunSchedule(
+      seed, { .source_ = MemberSource::OtherHosts, .members_ = members });
     CHECK(violations.refusedTooEarly_ == 0);
     CHECK(violations.wentBack_ == 0);
     CHECK(violations.behind_ == 0);
@@ -53,7 +57,7 @@
   }));
   int found = 0;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    found += RunSchedule(seed, guards).refusedTooEarly_;
+    found += RunSchedule(seed, { .guards_ = guards }).refusedTooEarly_;
   }
   CHECK(found > 0);
 }
