--- a/testing/harness/replacement_tests.py
+++ b/testing/harness/replacement_tests.py
@@ -43,6 +43,11 @@
         super().__init__(
             fleet.system, f"127.1.0.{number}", data_centre, ports, control)
         self.fleet = fleet
+        self.listening = f"{self.name}:{self.peer}"
+        if self.relay:
+            # Peers know the relay's address, which has the same port at all hosts.
+            self.listening = f"127.2.0.{number}:{self.peer}"
+            self.relay.route(self.listening, self.name, f"{self.name}:{self.peer}")
 
     def start(self):
         caller = "" if self.member else f"127.0.0.1:{self.caller}"
@@ -54,7 +59,8 @@
             "--caller-address", caller,
             "--operator-address", f"127.0.0.1:{self.operator}",
             "--announce-address", f"127.0.0.1:{self.announce}",
-            "--peer-address", f"{self.name}:{self.peer}",
+            "--peer-address", self.listening,
+            "--peer-announced-address", f"{self.name}:{self.peer}",
             "--control-seeds", seeds,
             "--founding", "on" if self.fleet.founding else "off",
             "--tolerated-losses", str(self.fleet.losses),
@@ -67,14 +73,14 @@
 class Fleet:
     """Entry hosts and control hosts of one system, and what was violated."""
 
-    def __init__(self, system, losses, controls):
+    def __init__(self, system, losses, controls, entry_zones=DATA_CENTRES):
         self.system = system
         self.losses = losses
         self.voter_count = 2 * losses + 1
         self.founding = True
         self.peer_port = PORTS.allocate(1)[0]
         self.problems = []
-        self.entries = [self.add(zone, False) for zone in DATA_CENTRES]
+        self.entries = [self.add(zone, False) for zone in entry_zones]
         for number in range(controls):
             self.add(ZONES[number % len(ZONES)], True)
         system.add_group(GROUP, DATA_CENTRES, TARGET_FLAGS)
--- a/testing/relay/connection.cpp
+++ b/testing/relay/connection.cpp
@@ -33,9 +33,11 @@
 }
 
 void
-Connection::Start(ProcessName aFrom, ProcessName aTo, std::uint16_t aPort)
+Connection::Start(ProcessName aFrom,
+                  ProcessName aTo,
+                  const tcp::endpoint& aDestination)
 {
-  port_ = aPort;
+  destination_ = aDestination;
   toServer_.from_ = toClient_.to_ = std::move(aFrom);
   toServer_.to_ = toClient_.from_ = std::move(aTo);
   OnLinksChanged();
@@ -50,7 +52,7 @@
 void
 Connection::OnLinksChanged()
 {
-  if (closed_ || lost_ || port_ == 0) {
+  if (closed_ || lost_ || destination_.port() == 0) {
     return;
   }
   if (HasMode(LinkMode::Refused)) {
@@ -66,7 +68,7 @@
 void
 Connection::MarkLostIfSilent()
 {
-  lost_ = lost_ || (port_ != 0 && HasMode(LinkMode::Silent));
+  lost_ = lost_ || (destination_.port() != 0 && HasMode(LinkMode::Silent));
 }
 
 void
@@ -85,9 +87,8 @@
 Connection::Connect()
 {
   connecting_ = true;
-  const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port_);
   serverSocket_.async_connect(
-    endpoint, [this, self = shared_from_this()](ErrorCode aError) {
+    destination_, [this, self = shared_from_this()](ErrorCode aError) {
       if (closed_ || aError) {
         Close();
         return;
--- a/testing/relay/connection.h
+++ b/testing/relay/connection.h
@@ -20,7 +20,9 @@
   Connection(boost::asio::ip::tcp::socket aAccepted, const LinkTable& aLinks);
 
   //! Connects to the destination once both directions are open.
-  void Start(ProcessName aFrom, ProcessName aTo, std::uint16_t aPort);
+  void Start(ProcessName aFrom,
+             ProcessName aTo,
+             const boost::asio::ip::tcp::endpoint& aDestination);
   //! Resumes forwarding after links changed. Resets the connection if one of
   //! its links is refused.
   void OnLinksChanged();
@@ -71,7 +73,7 @@
   const LinkTable& links_;
   Socket clientSocket_;
   Socket serverSocket_;
-  std::uint16_t port_ = 0;
+  boost::asio::ip::tcp::endpoint destination_;
   Direction toServer_;
   Direction toClient_;
   bool connecting_ = false;
--- a/testing/relay/relay.cpp
+++ b/testing/relay/relay.cpp
@@ -28,6 +28,21 @@
   return names;
 }
 
+//! Parses a port of the loopback address, or `ip:port`. The port is 0 if the
+//! text is neither.
+tcp::endpoint
+ParseEndpoint(const std::string& aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  const bool hasAddress = colon != std::string::npos;
+  ErrorCode error;
+  const asio::ip::address address =
+    hasAddress ? asio::ip::make_address(aText.substr(0, colon), error)
+               : asio::ip::address_v4::loopback();
+  const int port = std::atoi(aText.c_str() + (hasAddress ? colon + 1 : 0));
+  return { address, error ? std::uint16_t(0) : std::uint16_t(port) };
+}
+
 } // namespace
 
 Relay::Relay(asio::io_context& aContext)
@@ -44,10 +59,11 @@
   std::string second;
   words >> verb >> first;
   if (verb == "route") {
-    std::uint16_t destination = 0;
+    std::string destination;
     words >> destination >> second;
-    return AddRoute(static_cast<std::uint16_t>(std::atoi(first.c_str())),
-                    { tcp::acceptor(context_), destination, second });
+    return AddRoute(
+      ParseEndpoint(first),
+      { tcp::acceptor(context_), ParseEndpoint(destination), second });
   }
   if (verb == "process") {
     int pid = 0;
@@ -69,14 +85,13 @@
 }
 
 std::string
-Relay::AddRoute(std::uint16_t aPort, Route aRoute)
+Relay::AddRoute(const tcp::endpoint& aEndpoint, Route aRoute)
 {
-  const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), aPort);
   Route& route = routes_.emplace_back(std::move(aRoute));
   ErrorCode error;
-  route.acceptor_.open(endpoint.protocol(), error);
+  route.acceptor_.open(aEndpoint.protocol(), error);
   route.acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  route.acceptor_.bind(endpoint, error);
+  route.acceptor_.bind(aEndpoint, error);
   if (!error) {
     route.acceptor_.listen(asio::socket_base::max_listen_connections, error);
   }
@@ -108,7 +123,7 @@
                 int aRetriesLeft)
 {
   if (const auto name = resolver_.Find(aConnection->GetClientSocket())) {
-    aConnection->Start(*name, aRoute.processName_, aRoute.port_);
+    aConnection->Start(*name, aRoute.processName_, aRoute.destination_);
     return;
   }
   if (aRetriesLeft == 0) {
--- a/testing/relay/relay.h
+++ b/testing/relay/relay.h
@@ -13,7 +13,9 @@
 
 //! Forwards connections on loopback between named processes. NAMES is a
 //! comma-separated list of process names. The commands are, one per line:
-//!   route PORT DESTINATION-PORT NAME   accepts connections to NAME on PORT
+//!   route ADDRESS DESTINATION NAME     accepts connections to NAME at ADDRESS;
+//!                                      both are a port of 127.0.0.1, or
+//!                                      ip:port
 //!   process NAME PID                   names a process that connects
 //!   link NAMES NAMES open|silent|refused DELAY-MS
 //!                                      sets the links from left to right
@@ -32,11 +34,12 @@
   struct Route
   {
     boost::asio::ip::tcp::acceptor acceptor_;
-    std::uint16_t port_;
+    boost::asio::ip::tcp::endpoint destination_;
     ProcessName processName_;
   };
 
-  std::string AddRoute(std::uint16_t aPort, Route aRoute);
+  std::string AddRoute(const boost::asio::ip::tcp::endpoint& aEndpoint,
+                       Route aRoute);
   void Accept(Route& aRoute);
   void Identify(const std::shared_ptr<Connection>& aConnection,
                 const Route& aRoute,
