--- a/apps/wigeonlbd/control/controlpeers.cpp
+++ b/apps/wigeonlbd/control/controlpeers.cpp
@@ -46,15 +46,22 @@
   }
 }
 
+void
+ControlRuntime::SetMemberAddresses()
+{
+  memberAddresses_ = toldAddresses_;
+  memberAddresses_.insert(storedAddresses_.begin(), storedAddresses_.end());
+  memberAddresses_.insert(seedAddresses_.begin(), seedAddresses_.end());
+  SetPeers();
+}
+
 void
 ControlRuntime::ApplyMembers(const wire::MemberChange& aMembers)
 {
-  for (const auto& [host, address] : aMembers.addresses()) {
-    memberAddresses_[host] = address;
-  }
+  toldAddresses_ = { aMembers.addresses().begin(), aMembers.addresses().end() };
   submitter_->SetMembers(
     { aMembers.voters().begin(), aMembers.voters().end() });
-  SetPeers();
+  SetMemberAddresses();
 }
 
 void
@@ -65,21 +72,24 @@
   }
   const wire::MemberChange& members =
     core::consensus::CurrentMembers(member_->Consensus().log_);
-  std::vector<foundation::HostId> names(members.voters().begin(),
-                                        members.voters().end());
-  names.insert(
-    names.end(), members.learners().begin(), members.learners().end());
-  if (names == storedMembers_) {
+  std::map<foundation::HostId, std::string> addresses;
+  for (const auto& names : { members.voters(), members.learners() }) {
+    for (const foundation::HostId& host : names) {
+      const auto address = members.addresses().find(host);
+      if (address != members.addresses().end()) {
+        addresses.emplace(host, address->second);
+      }
+    }
+  }
+  if (addresses == storedAddresses_) {
     return;
   }
-  storedMembers_ = names;
-  for (const foundation::HostId& host : names) {
-    const auto address = members.addresses().find(host);
-    if (address != members.addresses().end()) {
-      memberAddresses_.try_emplace(host, address->second);
-    }
+  storedAddresses_ = std::move(addresses);
+  SetMemberAddresses();
+  std::vector<foundation::HostId> names;
+  for (const auto& [host, address] : storedAddresses_) {
+    names.push_back(host);
   }
-  SetPeers();
   agent_->OnStoredMembers(std::move(names));
 }
 
@@ -107,15 +117,16 @@
 ControlRuntime::PostSeeds(std::vector<settings::ControlMember> aSeeds)
 {
   boost::asio::post(context_, [this, seeds = std::move(aSeeds)] {
+    if (seeds.empty()) {
+      return;
+    }
     std::vector<foundation::HostId> names;
     for (const settings::ControlMember& seed : seeds) {
-      memberAddresses_[seed.host_] = seed.peerAddress_;
+      seedAddresses_[seed.host_] = seed.peerAddress_;
       names.push_back(seed.host_);
     }
-    SetPeers();
-    if (!names.empty()) {
-      agent_->OnSeeds(std::move(names));
-    }
+    SetMemberAddresses();
+    agent_->OnSeeds(std::move(names));
   });
 }
 
--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -145,8 +145,9 @@
     ApplyMembers(aMembers);
   };
   for (const settings::ControlMember& member : settings_.controlMembers_) {
-    memberAddresses_[member.host_] = member.peerAddress_;
+    seedAddresses_[member.host_] = member.peerAddress_;
   }
+  memberAddresses_ = seedAddresses_;
 
   const bool member = settings_.controlSeeds_.empty()
                         ? settings::IsControlMember(settings_)
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -115,6 +115,8 @@
   void OnTick();
   void AnswerChangesInForce();
   void SetPeers();
+  //! Puts memberAddresses_ together and opens links to these hosts.
+  void SetMemberAddresses();
   std::size_t GetWantedVoterCount() const;
   //! Sends requests to the new control members from now on. Control members
   //! keep their links to them open.
@@ -138,8 +140,11 @@
   std::uint64_t boot_;
   const target::Protocol& targets_;
   PromotionPort promote_;
-  std::map<foundation::HostId, std::string> memberAddresses_;
-  std::vector<foundation::HostId> storedMembers_; //!< named by the own log
+  std::map<foundation::HostId, std::string>
+    seedAddresses_; //!< of settings, also former
+  std::map<foundation::HostId, std::string> storedAddresses_; //!< of the log
+  std::map<foundation::HostId, std::string> toldAddresses_;   //!< of a leader
+  std::map<foundation::HostId, std::string> memberAddresses_; //!< of them all
   std::vector<wire::HostInfo> hosts_;
   //! Peer addresses of hosts that sent a heartbeat and are not in hosts_ yet.
   std::map<foundation::HostId, std::string> unlistedHosts_;
--- a/packages/core/consensus/memberplan.cpp
+++ b/packages/core/consensus/memberplan.cpp
@@ -18,19 +18,24 @@
   return std::ranges::find(aHosts, aHost) != aHosts.end();
 }
 
-bool
-IsUnresponsive(const ConsensusState& aState, const HostId& aHost, Instant aNow)
+//! Time since this host leads and the other one has not answered.
+foundation::Duration
+GetSilence(const ConsensusState& aState, const HostId& aHost, Instant aNow)
 {
-  if (aHost == aState.settings_.self_) {
-    return false;
-  }
   const auto progress = aState.progress_.find(aHost);
   const bool answered = progress != aState.progress_.end() &&
                         progress->second.answeredSentAt_.has_value();
   const Instant since =
     answered ? std::max(*progress->second.answeredSentAt_, aState.leadingSince_)
              : aState.leadingSince_;
-  return aNow - since >= kVoterTimeoutMs;
+  return aNow - since;
+}
+
+bool
+IsUnresponsive(const ConsensusState& aState, const HostId& aHost, Instant aNow)
+{
+  return aHost != aState.settings_.self_ &&
+         GetSilence(aState, aHost, aNow) >= kVoterTimeoutMs;
 }
 
 //! The first unresponsive voter, or empty.
@@ -115,6 +120,30 @@
   return plan;
 }
 
+//! Removes one learner that is gone for long. Otherwise each host that was ever
+//! replaced would stay a learner, with links to it.
+MemberPlan
+PlanRemoval(const ConsensusState& aState,
+            std::span<const MemberCandidate> aLive,
+            Instant aNow)
+{
+  for (const HostId& host : Members(aState).learners()) {
+    const bool isLive =
+      std::ranges::any_of(aLive, [&](const MemberCandidate& aCandidate) {
+        return aCandidate.host_ == host;
+      });
+    if (isLive || GetSilence(aState, host, aNow) < kLearnerTimeoutMs) {
+      continue;
+    }
+    MemberPlan plan{ MemberStep::RemoveLearner, Members(aState), host };
+    Erase(*plan.members_.mutable_learners(), host);
+    plan.members_.mutable_addresses()->erase(host);
+    plan.members_.mutable_incarnations()->erase(host);
+    return plan;
+  }
+  return {};
+}
+
 MemberPlan
 PlanStep(const ConsensusState& aState,
          std::span<const MemberCandidate> aLive,
@@ -132,7 +161,7 @@
     return PlanDemotion(aState, aUnresponsive, aNow);
   }
   if (voters >= aVoters && !replaces) {
-    return {};
+    return PlanRemoval(aState, aLive, aNow);
   }
   // An odd number of voters and one less have the same quorum, and so do an
   // even number and one more. In this order no step needs the answer of a host
@@ -174,6 +203,8 @@
       return "promote-learner";
     case MemberStep::DemoteVoter:
       return "demote-voter";
+    case MemberStep::RemoveLearner:
+      return "remove-learner";
   }
   return "";
 }
--- a/packages/core/consensus/memberplan.h
+++ b/packages/core/consensus/memberplan.h
@@ -14,6 +14,10 @@
 constexpr foundation::Duration kVoterTimeoutMs =
   std::chrono::milliseconds(2500);
 
+//! A learner that has not answered the leader for this time, and is no live
+//! host, is removed. Should it return, it becomes a learner again.
+constexpr foundation::Duration kLearnerTimeoutMs = std::chrono::minutes(10);
+
 //! Limits of the number of voters.
 constexpr std::size_t kMinVoters = 3;
 constexpr std::size_t kMaxVoters = 7;
@@ -41,6 +45,7 @@
   AddLearners,
   PromoteLearner,
   DemoteVoter,
+  RemoveLearner,
 };
 
 //! Result of PlanMembers.
@@ -48,7 +53,7 @@
 {
   MemberStep step_ = MemberStep::None;
   wire::MemberChange members_; //!< the members after the step
-  foundation::HostId host_;    //!< the host that is promoted or demoted
+  foundation::HostId host_;    //!< promoted, demoted or removed
   //! A voter that has been unresponsive for kVoterTimeoutMs, or empty.
   foundation::HostId unresponsive_;
   //! Without a step: why a voter is neither replaced nor added. Of several
@@ -66,7 +71,9 @@
 
 //! The leader's next membership change towards aVoters responsive voters. A
 //! live host that is not a member becomes a learner. Once a learner has caught
-//! up, an unresponsive voter becomes a learner, and then the learner a voter.
+//! up, an unresponsive voter becomes a learner, and then the learner a voter. A
+//! learner that is gone for long is removed, with its address, once there is
+//! nothing else to do.
 MemberPlan
 PlanMembers(const ConsensusState& aState,
             std::span<const MemberCandidate> aLive,
--- a/packages/core/consensus/tests/memberplan_tests.cpp
+++ b/packages/core/consensus/tests/memberplan_tests.cpp
@@ -117,6 +117,56 @@
         row.step_);
 }
 
+// Guards against a list of members that keeps each host that was ever replaced.
+TEST_CASE("a learner that is gone for long is removed", "[consensus][members]")
+{
+  struct Row
+  {
+    foundation::Duration silence_;
+    bool isLive_;
+    bool isVoterSilent_;
+    std::string step_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { 1s, false, false, "none" },
+    { kLearnerTimeoutMs - 1s, false, false, "none" },
+    { kLearnerTimeoutMs, false, false, "abc/d" },
+    { kLearnerTimeoutMs, true, false, "none" },
+    // The voter is replaced first.
+    { kLearnerTimeoutMs, false, true, "ab/dec" },
+  }));
+  Fixture fixture;
+  fixture.state_.leadingSince_ = kNow - 2 * kLearnerTimeoutMs;
+  fixture.AddLearner("d", true);
+  fixture.AddLearner("e", true);
+  auto& members = fixture.state_.log_.members_.back().second;
+  (*members.mutable_addresses())["e"] = "e:1";
+  (*members.mutable_incarnations())["e"] = 7;
+  fixture.SetLastAnswer("e", row.silence_);
+  if (row.isVoterSilent_) {
+    fixture.SetLastAnswer("c", kVoterTimeoutMs);
+  }
+  std::vector<MemberCandidate> live{ { "a", "a:1" }, { "d", "d:1" } };
+  if (row.isLive_) {
+    live.push_back({ "e", "e:1" });
+  }
+  const MemberPlan plan = PlanMembers(fixture.state_, live, 3, kNow);
+  CHECK(ToText(plan) == row.step_);
+  if (plan.step_ == MemberStep::RemoveLearner) {
+    CHECK_FALSE(plan.members_.addresses().contains("e"));
+    CHECK_FALSE(plan.members_.incarnations().contains("e"));
+  }
+}
+
+TEST_CASE("a leader that has just been elected removes no learner",
+          "[consensus][members]")
+{
+  Fixture fixture;
+  fixture.AddLearner("d", true);
+  fixture.SetLastAnswer("d", 2 * kLearnerTimeoutMs);
+  CHECK(ToText(PlanMembers(fixture.state_, {}, 3, kNow)) == "none");
+}
+
 TEST_CASE("a demoted voter's place is taken by a learner with an empty disk",
           "[consensus][members]")
 {
