--- a/apps/wigeonctl/explain.cpp
+++ b/apps/wigeonctl/explain.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view kStateEvents[] = {
   "callers-sent-away",
   "configuration-in-force",
+  "configuration-read",
+  "configuration-refused",
   "cut-off",
   "cut-off-ended",
   "draining",
@@ -40,6 +42,8 @@
   "change-decided",
   "configuration-answered",
   "configuration-in-force",
+  "configuration-read",
+  "configuration-refused",
   "configuration-sent",
   "host-behind",
   "host-caught-up",
--- a/apps/wigeonlbd/control/contactreport.h
+++ b/apps/wigeonlbd/control/contactreport.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 
 #include "foundation/clock.h"
 
-//! Log lines of a host about its contact with the control leader.
+//! Decides when a host logs that it has lost or regained contact with the
+//! control leader.
 namespace wigeonlb::daemon::control {
 
 //! Time without a reply of a leader after which this is logged. An election
--- a/apps/wigeonlbd/control/controlpeers.cpp
+++ b/apps/wigeonlbd/control/controlpeers.cpp
@@ -12,6 +12,26 @@
 
 namespace wigeonlb::daemon::control {
 
+namespace {
+
+//! A member without an address is left out.
+std::map<foundation::HostId, std::string>
+ListMemberAddresses(const wire::MemberChange& aMembers)
+{
+  std::map<foundation::HostId, std::string> addresses;
+  for (const auto& names : { aMembers.voters(), aMembers.learners() }) {
+    for (const foundation::HostId& host : names) {
+      const auto address = aMembers.addresses().find(host);
+      if (address != aMembers.addresses().end()) {
+        addresses.emplace(host, address->second);
+      }
+    }
+  }
+  return addresses;
+}
+
+} // namespace
+
 std::size_t
 ControlRuntime::GetWantedVoterCount() const
 {
@@ -70,17 +90,8 @@
   if (member_ == nullptr) {
     return;
   }
-  const wire::MemberChange& members =
-    core::consensus::CurrentMembers(member_->Consensus().log_);
-  std::map<foundation::HostId, std::string> addresses;
-  for (const auto& names : { members.voters(), members.learners() }) {
-    for (const foundation::HostId& host : names) {
-      const auto address = members.addresses().find(host);
-      if (address != members.addresses().end()) {
-        addresses.emplace(host, address->second);
-      }
-    }
-  }
+  auto addresses = ListMemberAddresses(
+    core::consensus::CurrentMembers(member_->Consensus().log_));
   if (addresses == storedAddresses_) {
     return;
   }
--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -256,10 +256,10 @@
 {
   const core::consensus::ReplicatedLog& log = member_->Consensus().log_;
   const wire::MemberChange& members = core::consensus::CurrentMembers(log);
-  std::string unlinked;
+  std::string notInSettings;
   for (const auto& [host, address] : members.addresses()) {
     if (host != settings_.hostId_ && !memberAddresses_.contains(host)) {
-      unlinked += (unlinked.empty() ? "" : ",") + host;
+      notInSettings += (notInSettings.empty() ? "" : ",") + host;
     }
   }
   foundation::LogChange(
@@ -268,7 +268,7 @@
     { { "last", std::to_string(core::consensus::LastIndex(log)) },
       { "voters", std::to_string(members.voters_size()) },
       { "learners", std::to_string(members.learners_size()) },
-      { "members_without_link", unlinked } });
+      { "members_not_in_settings", notInSettings } });
 }
 
 void
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -104,8 +104,8 @@
 
 private:
   std::error_code StartMember(foundation::Findings& aFindings);
-  //! Logs the members that the stored log names, and those to which the
-  //! settings give no address.
+  //! Logs how far the stored log reaches, its members, and which of them the
+  //! settings don't name.
   void LogMemberStarted() const;
   void OnPeerMessage(wire::PeerMessage aMessage);
   void OnControlMessage(wire::PeerMessage& aMessage);
@@ -115,7 +115,8 @@
   void OnTick();
   void AnswerChangesInForce();
   void SetPeers();
-  //! Puts memberAddresses_ together and opens links to these hosts.
+  //! Merges the addresses of the three sources into memberAddresses_ and opens
+  //! links to these hosts.
   void SetMemberAddresses();
   std::size_t GetWantedVoterCount() const;
   //! Sends requests to the new control members from now on. Control members
@@ -123,14 +124,16 @@
   void ApplyMembers(const wire::MemberChange& aMembers);
   //! Opens links to the members that this member's own log names, and asks
   //! them. A restart of all hosts ends with a leader only if members find each
-  //! other without one, and the settings may name hosts that are gone.
+  //! other without one, and the settings may name hosts that are gone. Checked
+  //! with each report, as the log may have changed.
   void UseStoredMembers();
   //! Logs changes in the standing of the control members, and the lack of a
   //! leader.
   void ReportMembers();
   //! Checks whether this host is isolated, and disconnects its callers if so.
   void CheckIsolation();
-  //! Makes the sender of a heartbeat a known peer, so that it can be answered.
+  //! Makes the sender of a heartbeat a known peer, so that it can be answered,
+  //! and a host that may be asked for members.
   void EnsurePeer(const wire::HostInfo& aHost);
   bool IsMember() const { return member_ != nullptr; }
   //! Warns once if links to aHosts hosts need more open files than are allowed.
@@ -140,10 +143,10 @@
   std::uint64_t boot_;
   const target::Protocol& targets_;
   PromotionPort promote_;
-  std::map<foundation::HostId, std::string>
-    seedAddresses_; //!< of settings, also former
-  std::map<foundation::HostId, std::string> storedAddresses_; //!< of the log
-  std::map<foundation::HostId, std::string> toldAddresses_;   //!< of a leader
+  //! Peer addresses by source. For a host in several, the first source counts.
+  std::map<foundation::HostId, std::string> toldAddresses_;   //!< newest list
+  std::map<foundation::HostId, std::string> storedAddresses_; //!< own log
+  std::map<foundation::HostId, std::string> seedAddresses_; //!< since the start
   std::map<foundation::HostId, std::string> memberAddresses_; //!< of them all
   std::vector<wire::HostInfo> hosts_;
   //! Peer addresses of hosts that sent a heartbeat and are not in hosts_ yet.
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -94,16 +94,16 @@
   if (!change) {
     return;
   }
-  std::string asked;
+  std::string members;
   for (const foundation::HostId& member : holder_.members_) {
-    asked += (asked.empty() ? "" : ",") + member;
+    members += (members.empty() ? "" : ",") + member;
   }
   const bool isLost = *change == ContactChange::Lost;
   foundation::LogChange(
     "agent",
     isLost ? "leader-not-heard" : "leader-heard-again",
     { { "for_ms", std::to_string(foundation::ToMilliseconds(aNow - before)) },
-      { "asked", asked },
+      { "members", members },
       { "members_index", std::to_string(holder_.membersIndex_) } });
 }
 
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -60,7 +60,7 @@
   //! Answers a heartbeat that reached this host although it is no control
   //! member: the sender hears no member, and those that it knows may be gone.
   void OnHeartbeat(const wire::Heartbeat& aHeartbeat);
-  //! Another host has sent this one a heartbeat, and can be asked for members.
+  //! A host that this one did not know has sent it a heartbeat.
   void OnSender(const foundation::HostId& aHost);
   void OnRevoke(const wire::RevokeGrant& aRevoke);
   void OnAnnouncement(const wire::Announcement& aAnnouncement);
@@ -164,7 +164,8 @@
   //! received last in force.
   void ApplyConfirmation(const wire::HeartbeatReply& aReply);
   void UpdateTableConfirmation();
-  //! Logs that no leader has replied for long, and which hosts were asked.
+  //! Logs once that no leader has replied for kLeaderSilenceMs, once that one
+  //! replies again, and the members that this host asks.
   void ReportContact(foundation::Instant aNow);
   void PutInForce(const core::configuration::ConfigurationView& aView);
   void ApplyMembers(const wire::HeartbeatReply& aReply);
@@ -184,8 +185,8 @@
   PeerPort& port_;
   traffic::TrafficRuntime& traffic_;
   core::grants::HolderState holder_;
-  std::vector<foundation::HostId> storedMembers_;
-  wire::MemberChange members_; //!< at holder_.membersIndex_
+  std::vector<foundation::HostId> storedMembers_; //!< named by the own log
+  wire::MemberChange members_;                    //!< at holder_.membersIndex_
   foundation::Instant startedAt_ = foundation::SteadyNow();
   foundation::Instant lastLeaderContact_ = startedAt_;
   bool reachedLeader_ = false;
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -165,23 +165,24 @@
               const std::function<void(AdoptionResult)>& aDone)
 {
   wire::ConfigurationChange change;
-  const std::string document =
+  const std::string documentId =
     control::MakeDocumentId(aConfiguration.number(), aConfiguration.document());
-  change.set_change_id(document);
+  change.set_change_id(documentId);
   change.set_operator_name("numbered configuration");
   *change.add_operations()->mutable_adopt() = std::move(aConfiguration);
   control_->SubmitChange(
-    std::move(change), [aDone, document](const control::ChangeAnswer& aAnswer) {
+    std::move(change),
+    [aDone, documentId](const control::ChangeAnswer& aAnswer) {
       if (aAnswer.outcome_ != control::ChangeOutcome::Decided) {
         aDone({ AdoptionOutcome::Unknown,
                 "no control leader has decided on the configuration",
-                document });
+                documentId });
         return;
       }
       aDone({ aAnswer.result_.accepted() ? AdoptionOutcome::Accepted
                                          : AdoptionOutcome::Refused,
               aAnswer.result_.message(),
-              document });
+              documentId });
     });
 }
 
--- a/apps/wigeonlbd/operations/operations.cpp
+++ b/apps/wigeonlbd/operations/operations.cpp
@@ -213,7 +213,7 @@
   const std::string read =
     aDocument ? control::MakeDocumentId(aDocument->number_, aDocument->text_)
               : "none";
-  if (std::exchange(lastRead_, read) == read) {
+  if (std::exchange(lastReadId_, read) == read) {
     return;
   }
   foundation::LogChange(
--- a/apps/wigeonlbd/operations/operations.h
+++ b/apps/wigeonlbd/operations/operations.h
@@ -42,8 +42,8 @@
   //! Queries the control leader, which may be this host.
   void QueryLeader(wire::OperatorQuestion aQuestion,
                    OperatorQuestions::Done aDone);
-  //! Logs which document an external reader gets, whenever it is another one
-  //! than before.
+  //! Logs the id of the document that a reader gets, if it differs from the
+  //! last one.
   void LogRead(const std::optional<ConfigurationDocument>& aDocument);
   //! Explains which targets a read may go to; nothing if this host is not an
   //! owner. aDone is called on the group's traffic thread.
@@ -61,7 +61,7 @@
   traffic::TrafficRuntime& traffic_;
   foundation::MetricsRegistry& registry_;
   OperatorQuestions questions_;
-  std::string lastRead_; //!< of a document, as it was logged
+  std::string lastReadId_; //!< of the document read last, or "none"
 };
 
 } // namespace wigeonlb::daemon::operations
--- a/apps/wigeonlbd/ports.h
+++ b/apps/wigeonlbd/ports.h
@@ -25,7 +25,7 @@
 {
   AdoptionOutcome outcome_ = AdoptionOutcome::Unknown;
   std::string message_;
-  std::string document_; //!< id of the document, see MakeDocumentId
+  std::string documentId_; //!< see control::MakeDocumentId
 };
 
 //! The newest numbered configuration, as it was received.
--- a/apps/wigeonlbd/tests/contactreport_tests.cpp
+++ b/apps/wigeonlbd/tests/contactreport_tests.cpp
@@ -1,3 +1,8 @@
+#include <chrono>
+#include <optional>
+#include <string_view>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "control/contactreport.h"
--- a/packages/core/consensus/memberplan.cpp
+++ b/packages/core/consensus/memberplan.cpp
@@ -18,7 +18,8 @@
   return std::ranges::find(aHosts, aHost) != aHosts.end();
 }
 
-//! Time since this host leads and the other one has not answered.
+//! How long the host has not answered this leader, counted from its election at
+//! the earliest.
 foundation::Duration
 GetSilence(const ConsensusState& aState, const HostId& aHost, Instant aNow)
 {
@@ -120,8 +121,9 @@
   return plan;
 }
 
-//! Removes one learner that is gone for long. Otherwise each host that was ever
-//! replaced would stay a learner, with links to it.
+//! Removes one learner that has been silent for kLearnerTimeoutMs and is no
+//! live host. Otherwise each host that was ever replaced would stay a learner,
+//! and members would keep links to it.
 MemberPlan
 PlanRemoval(const ConsensusState& aState,
             std::span<const MemberCandidate> aLive,
--- a/packages/core/consensus/memberplan.h
+++ b/packages/core/consensus/memberplan.h
@@ -15,8 +15,9 @@
   std::chrono::milliseconds(2500);
 
 //! A learner that has not answered the leader for this time, and is no live
-//! host, is removed. Should it return, it becomes a learner again.
-constexpr foundation::Duration kLearnerTimeoutMs = std::chrono::minutes(10);
+//! host, is removed. Should it return, it becomes a learner again, if it finds
+//! the members. Far longer than an outage that operators end by a restart.
+constexpr foundation::Duration kLearnerTimeoutMs = std::chrono::hours(24);
 
 //! Limits of the number of voters.
 constexpr std::size_t kMinVoters = 3;
@@ -72,8 +73,8 @@
 //! The leader's next membership change towards aVoters responsive voters. A
 //! live host that is not a member becomes a learner. Once a learner has caught
 //! up, an unresponsive voter becomes a learner, and then the learner a voter. A
-//! learner that is gone for long is removed, with its address, once there is
-//! nothing else to do.
+//! learner that has been silent for kLearnerTimeoutMs is removed, with its
+//! address, once no other step is due.
 MemberPlan
 PlanMembers(const ConsensusState& aState,
             std::span<const MemberCandidate> aLive,
--- a/packages/core/consensus/tests/memberplan_tests.cpp
+++ b/packages/core/consensus/tests/memberplan_tests.cpp
@@ -158,6 +158,7 @@
   }
 }
 
+// Guards against the removal of a learner that this leader has not asked yet.
 TEST_CASE("a leader that has just been elected removes no learner",
           "[consensus][members]")
 {
--- a/packages/core/grants/holder.cpp
+++ b/packages/core/grants/holder.cpp
@@ -180,8 +180,9 @@
     stays ? static_cast<std::size_t>(member - aState.members_.begin())
           : aState.random_() % aState.members_.size();
   aState.ignoreHintsUntil_ = {};
-  if (IsSilent(aState)) {
-    AskAllMembers(aState);
+  // The former members were lost: the first of the new ones may be, too.
+  if (HearsNoLeader(aState)) {
+    ScheduleHeartbeatToAll(aState);
   }
 }
 
--- a/packages/core/grants/holder.h
+++ b/packages/core/grants/holder.h
@@ -67,7 +67,8 @@
 //! they know, when no member responds.
 constexpr std::size_t kOtherHostsAsked = 3;
 
-//! So many senders of heartbeats are kept as hosts to ask.
+//! Bound on the senders that are kept. The first ones stay: they are needed
+//! only until a leader has sent the list of live hosts.
 constexpr std::size_t kMaxSenders = 64;
 
 //! How long transactions in flight may continue after a revocation.
@@ -133,7 +134,7 @@
   bool askAll_ = false; //!< the next heartbeat goes to all members
   //! The next heartbeat also goes to some hosts that are no members.
   bool askOthers_ = false;
-  //! Hosts that have sent this one a heartbeat, and so know some members.
+  //! Hosts unknown until they sent this one a heartbeat: they may know members.
   std::set<foundation::HostId> senders_;
   std::mt19937_64 random_;
   //! Disables the check for the end of the lease; for tests that show that it
--- a/packages/core/grants/internal/holdercontact.cpp
+++ b/packages/core/grants/internal/holdercontact.cpp
@@ -158,13 +158,13 @@
 } // namespace
 
 bool
-IsSilent(const HolderState& aState)
+HearsNoLeader(const HolderState& aState)
 {
   return aState.backOff_ >= kAskAllBackOffMs;
 }
 
 void
-AskAllMembers(HolderState& aState)
+ScheduleHeartbeatToAll(HolderState& aState)
 {
   aState.askAll_ = true;
   RequestUrgentHeartbeat(aState);
@@ -201,8 +201,9 @@
     std::max<Duration>(2 * aState.backOff_, kUrgentIntervalMs);
   aState.backOff_ = std::min<Duration>(longer, kMaxBackOffMs);
   aState.nextHeartbeat_ = aNow + AddJitter(aState, aState.backOff_);
-  aState.askAll_ = IsSilent(aState) && aState.members_.size() > kMembersInTurn;
-  aState.askOthers_ = IsSilent(aState);
+  aState.askAll_ =
+    HearsNoLeader(aState) && aState.members_.size() > kMembersInTurn;
+  aState.askOthers_ = HearsNoLeader(aState);
 }
 
 void
--- a/packages/core/grants/internal/holdercontact.h
+++ b/packages/core/grants/internal/holdercontact.h
@@ -16,14 +16,16 @@
 void
 ScheduleHeartbeatWithin(HolderState& aState, foundation::Duration aInterval);
 
-//! Whether members in turn have not responded for long: most of those that this
-//! host knows may have been replaced.
+//! Whether four members in turn have neither replied as leader nor named one,
+//! and no leader has replied since: most of the members that this host knows
+//! may have been replaced.
 bool
-IsSilent(const HolderState& aState);
+HearsNoLeader(const HolderState& aState);
 
-//! Schedules a heartbeat to each member.
+//! Lets the next heartbeat go to all members, as soon as the shortest interval
+//! allows.
 void
-AskAllMembers(HolderState& aState);
+ScheduleHeartbeatToAll(HolderState& aState);
 
 //! Follows the next member if the current one does not respond in time. The
 //! wait grows with each attempt, so that hosts do not overload the remaining
--- a/packages/core/grants/tests/holdercontact_tests.cpp
+++ b/packages/core/grants/tests/holdercontact_tests.cpp
@@ -1,5 +1,8 @@
 #include <algorithm>
 #include <set>
+#include <string>
+#include <variant>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -123,6 +126,7 @@
   CHECK(state.senders_.size() <= kMaxSenders);
 }
 
+// Guards against heartbeats between all hosts in normal operation.
 TEST_CASE("a host in contact with a leader asks no other host",
           "[holder][contact]")
 {
@@ -144,7 +148,8 @@
   }
 }
 
-TEST_CASE("members that a silent host learns are all asked at once",
+// Guards against new members that are asked one by one, for too long.
+TEST_CASE("members that a host learns while it hears no leader are all asked",
           "[holder][contact]")
 {
   HolderState state = MakeLostHost(1, 0);
--- a/packages/http/jsonobject.cpp
+++ b/packages/http/jsonobject.cpp
@@ -1,6 +1,7 @@
 #include "http/jsonobject.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,9 +20,8 @@
 //! What the values of a document don't show after it was parsed.
 struct Shape
 {
-  int depth_ = 0;        //!< of the deepest list or object
-  std::string repeated_; //!< a key that one object has twice
-  bool isRepeated_ = false;
+  int depth_ = 0; //!< largest depth of a step; the outermost object has 0
+  std::optional<std::string> repeated_;     //!< a key that one object has twice
   std::vector<std::set<std::string>> keys_; //!< of the objects being parsed
 };
 
@@ -41,7 +41,6 @@
   } else if (aStep == Step::key && !aShape.keys_.empty()) {
     const auto& key = aValue.get_ref<const std::string&>();
     if (!aShape.keys_.back().insert(key).second) {
-      aShape.isRepeated_ = true;
       aShape.repeated_ = key;
     }
   }
@@ -66,9 +65,9 @@
     AddFinding(aFindings, "/", "not JSON");
   } else if (!document.is_object()) {
     AddFinding(aFindings, "/", "expected an object");
-  } else if (shape.isRepeated_) {
+  } else if (shape.repeated_) {
     AddFinding(
-      aFindings, "/", "an object has the key '" + shape.repeated_ + "' twice");
+      aFindings, "/", "an object has the key '" + *shape.repeated_ + "' twice");
   } else {
     return document;
   }
--- a/packages/http/tests/jsonobject_tests.cpp
+++ b/packages/http/tests/jsonobject_tests.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 // Guards against a value that a later one of the same key hides.
-TEST_CASE("a body is one JSON object without doubt, or it has a finding",
+TEST_CASE("a body that is not one JSON object with distinct keys has a finding",
           "[jsonobject]")
 {
   const auto [text, valid] = GENERATE(table<std::string, bool>({
@@ -38,6 +38,7 @@
     { "", false },
     { "null", false },
     { Nested(31), true },
+    { Nested(32), true },
     { Nested(33), false },
     { Nested(100'000), false },
   }));
--- a/packages/target/dialect.cpp
+++ b/packages/target/dialect.cpp
@@ -1,6 +1,9 @@
 #include "target/dialect.h"
 
 #include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <string_view>
 
 #include <xxhash.h>
 
--- a/testing/harness/datacentre_tests.py
+++ b/testing/harness/datacentre_tests.py
@@ -10,7 +10,6 @@
 
 from process_tests import GROUP, run_named
 from refusal_tests import IN_FORCE_S, NEW_GROUP, UNKNOWN, add_route, connect
-from rejoin_tests import check
 from replacement_tests import FIRST_VALUE, OPTION, ZONES, Fleet
 from system import System, wait_until
 
@@ -49,11 +48,11 @@
     """The host has all changes in time after the cut has ended."""
     def left():
         return max(0.0, since + IN_FORCE_S - time.monotonic())
-    check(fleet, lambda: connect(host, NEW_GROUP) == "", left(),
+    fleet.check_within(lambda: connect(host, NEW_GROUP) == "", left(),
           f"{host.name} accepts the new route")
-    check(fleet, lambda: connect(host, OLD_GROUP) == UNKNOWN, left(),
+    fleet.check_within(lambda: connect(host, OLD_GROUP) == UNKNOWN, left(),
           f"{host.name} refuses the dropped route")
-    check(fleet, lambda: shown_value(host) == CHANGED_VALUE, left(),
+    fleet.check_within(lambda: shown_value(host) == CHANGED_VALUE, left(),
           f"{host.name} applies the changed option")
     fleet.note(f"{host.name}: {time.monotonic() - since:.2f} s after the cut")
 
@@ -95,10 +94,12 @@
 
 
 def test_data_centre_of_a_voter_cut_off(_):
+    """Guards against hosts that stay behind when the cut takes a voter."""
     cut_off_each("voter")
 
 
 def test_data_centre_of_the_leader_cut_off(_):
+    """Guards against the same when the cut takes the leader."""
     cut_off_each("leader")
 
 
--- a/testing/harness/rejoin_tests.py
+++ b/testing/harness/rejoin_tests.py
@@ -11,7 +11,7 @@
 from process_tests import run_named
 from refusal_tests import IN_FORCE_S, NEW_GROUP, UNKNOWN, add_route, connect
 from replacement_tests import INTERVAL_S, NEWCOMER_S, RESTART_S, Fleet
-from system import ConditionTimeout, System, wait_until
+from system import System
 
 ROLES = (
     # of the control host that stands still while all others are replaced
@@ -31,22 +31,13 @@
         fleet.check_voters(f"{INTERVAL_S} s after {host.name} was lost")
 
 
-def check(fleet, condition, seconds, what):
-    """Like wait_until, but collects a violation."""
-    try:
-        waited = wait_until(condition, seconds, what)
-        fleet.note(f"{what} after {waited:.2f} s")
-    except ConditionTimeout as error:
-        fleet.violated(str(error))
-
-
 def shown_leader(host):
     rows = host.rows("show config where key = 'leader'")
     return rows[0]["value"] if rows else ""
 
 
 def check_served(fleet, host, seconds):
-    check(fleet, lambda: connect(host, NEW_GROUP) == "", seconds,
+    fleet.check_within(lambda: connect(host, NEW_GROUP) == "", seconds,
           f"{host.name} accepts the new route")
     if connect(host, NEW_GROUP) == UNKNOWN:
         fleet.violated(f"{host.name} refuses the new route as unknown")
@@ -87,7 +78,7 @@
     add_route(fleet, fleet.entries[0])
     restart_all(fleet, seeds, wiped=[])
     for host in fleet.controls():
-        check(fleet, lambda: shown_leader(host), RESTART_S,
+        fleet.check_within(lambda: shown_leader(host), RESTART_S,
               f"{host.name} knows a leader")
     fleet.check()
 
@@ -116,7 +107,7 @@
     add_route(fleet, fleet.entries[0])
     still.thaw()
     leader = fleet.leader().name
-    check(fleet, lambda: shown_leader(still) == leader, IN_FORCE_S,
+    fleet.check_within(lambda: shown_leader(still) == leader, IN_FORCE_S,
           f"{still.name} knows the leader")
     fleet.check()
 
--- a/testing/harness/replacement_tests.py
+++ b/testing/harness/replacement_tests.py
@@ -155,6 +155,14 @@
                 f"{since}: {len(running)} of {len(voters)} voters run,"
                 f" wanted {self.voter_count}")
 
+    def check_within(self, condition, seconds, what):
+        """Like wait_until, but a time-out is a violation."""
+        try:
+            waited = wait_until(condition, seconds, what)
+            self.note(f"{what} after {waited:.2f} s")
+        except ConditionTimeout as error:
+            self.violated(str(error))
+
     def check(self):
         assert not self.problems, "\n".join(self.problems)
 
