Failover simulations: heartbeats to hosts that are no members

Since a host without contact also asks other hosts. Such a heartbeat changes nothing there, as members don't change.

--- a/packages/core/failover/tests/simulatedhosts.cpp
+++ b/packages/core/failover/tests/simulatedhosts.cpp
@@ -231,6 +231,9 @@
 {
   const auto member = std::ranges::find(
     aSimulation.members_, aSend.member_, &SimulatedMember::name_);
+  if (member == aSimulation.members_.end()) {
+    return; // a host that is no member knows no other members here
+  }
   const auto index =
     static_cast<std::size_t>(member - aSimulation.members_.begin());
   const auto heartbeat = aSend.heartbeat_;
