--- a/packages/core/consensus/consensus.cpp
+++ b/packages/core/consensus/consensus.cpp
@@ -126,12 +126,25 @@
   }
 }
 
-// Keeps the incarnations in force and adds those of new voters.
+bool
+IsMember(const wire::MemberChange& aMembers, const foundation::HostId& aHost)
+{
+  return IsVoter(aMembers, aHost) ||
+         std::ranges::find(aMembers.learners(), aHost) !=
+           aMembers.learners().end();
+}
+
+// Keeps the incarnations of members that stay and adds those of new voters.
 void
 FillIncarnations(const ConsensusState& aState, wire::MemberChange& aMembers)
 {
   auto& incarnations = *aMembers.mutable_incarnations();
-  incarnations = Members(aState).incarnations();
+  incarnations.clear();
+  for (const auto& [host, incarnation] : Members(aState).incarnations()) {
+    if (IsMember(aMembers, host)) {
+      incarnations[host] = incarnation;
+    }
+  }
   for (const foundation::HostId& host : aMembers.voters()) {
     const auto progress = aState.progress_.find(host);
     if (!IsVoter(Members(aState), host) && progress != aState.progress_.end()) {
--- a/packages/core/consensus/tests/memberplan_tests.cpp
+++ b/packages/core/consensus/tests/memberplan_tests.cpp
@@ -158,6 +158,27 @@
   }
 }
 
+// Guards against a list of incarnations that keeps each host that ever voted.
+TEST_CASE("a change of members keeps the incarnations of members only",
+          "[consensus][members]")
+{
+  Fixture fixture;
+  fixture.AddLearner("d", true);
+  auto& incarnations =
+    *fixture.state_.log_.members_.back().second.mutable_incarnations();
+  incarnations["b"] = 5;
+  incarnations["d"] = 6;
+  incarnations["gone"] = 7;
+  wire::ControlRecord record;
+  *record.mutable_members() = Members(fixture.state_);
+  std::vector<Action> actions;
+  Step(fixture.state_, Propose{ record, 0 }, kNow, actions);
+  const auto& kept = CurrentMembers(fixture.state_.log_).incarnations();
+  CHECK(kept.size() == 2);
+  CHECK(kept.contains("b"));
+  CHECK(kept.contains("d"));
+}
+
 // Guards against the removal of a learner that this leader has not asked yet.
 TEST_CASE("a leader that has just been elected removes no learner",
           "[consensus][members]")
