--- a/apps/wigeonlbd/operations/tables.cpp
+++ b/apps/wigeonlbd/operations/tables.cpp
@@ -362,7 +362,7 @@
 {
   Table table{ { "number", "document" }, {} };
   const wire::ControlState& state = aControl.Member()->Control();
-  if (aControl.Member()->HoldsLease() && state.document_number() != 0) {
+  if (aControl.Member()->HoldsLease() && !state.document().empty()) {
     table.rows_.push_back(
       { std::to_string(state.document_number()), state.document() });
   }
--- a/packages/core/configuration/internal/changedraft.cpp
+++ b/packages/core/configuration/internal/changedraft.cpp
@@ -203,7 +203,9 @@
 void
 Adopt(Context& aContext, const wire::NumberedConfiguration& aConfiguration)
 {
-  if (aConfiguration.number() <= aContext.state_.document_number()) {
+  const bool isFirst = aContext.state_.document().empty();
+  if (!isFirst &&
+      aConfiguration.number() <= aContext.state_.document_number()) {
     return;
   }
   for (const wire::CreateGroup& group : aConfiguration.groups()) {
--- a/packages/core/configuration/tests/numbered_tests.cpp
+++ b/packages/core/configuration/tests/numbered_tests.cpp
@@ -52,6 +52,21 @@
 
 } // namespace
 
+// Guards against a first configuration that is acknowledged and dropped.
+TEST_CASE("the first configuration is in force, whatever its number",
+          "[configuration][numbered]")
+{
+  const std::uint64_t number = GENERATE(0U, 1U, 7U);
+  wire::ControlState state;
+  CHECK(Apply(state, Adopt(number, { { "d", 1 } })).change_->accepted());
+  CHECK(GetDatabases(state) == Databases{ { "d", 1 } });
+  CHECK(
+    Apply(state, Adopt(number, { { "e", 2 } }, "other")).change_->accepted());
+  CHECK(GetDatabases(state) == Databases{ { "d", 1 } });
+  CHECK(Apply(state, Adopt(number + 1, { { "e", 2 } })).change_->accepted());
+  CHECK(GetDatabases(state) == Databases{ { "e", 2 } });
+}
+
 TEST_CASE("the configuration with the highest number is in force",
           "[configuration][numbered]")
 {
--- a/packages/core/failover/internal/heartbeatreply.cpp
+++ b/packages/core/failover/internal/heartbeatreply.cpp
@@ -85,7 +85,7 @@
   // list yet, or an incomplete one from this leader, gets the current list
   // early, because it is more complete.
   const auto known = aHeartbeat.hosts_version();
-  const bool early = (known == 0 && aControl.document_number() != 0) ||
+  const bool early = (known == 0 && !aControl.document().empty()) ||
                      known >= aState.membership_.oldestBase_;
   if (aNow - aState.leadingSince_ < kHostListSettleMs && !early) {
     aReply.set_hosts_version(known);
