--- a/apps/wigeonlbd/control/controlmessages.cpp
+++ b/apps/wigeonlbd/control/controlmessages.cpp
@@ -79,10 +79,14 @@
       return;
     case Body::kHeartbeat:
       EnsurePeer(aMessage.heartbeat().sender());
+      // A member that lags, or was removed, may have been told newer members
+      // than its own log has.
+      if (leader_ == nullptr ||
+          leader_->GetMembersIndex() < agent_->Holder().membersIndex_) {
+        agent_->OnHeartbeat(aMessage.heartbeat());
+      }
       if (leader_ != nullptr) {
         leader_->OnHeartbeat(std::move(*aMessage.mutable_heartbeat()));
-      } else {
-        agent_->OnHeartbeat(aMessage.heartbeat());
       }
       return;
     case Body::kHeartbeatReply: {
--- a/apps/wigeonlbd/control/leaderdriver.cpp
+++ b/apps/wigeonlbd/control/leaderdriver.cpp
@@ -242,19 +242,24 @@
   }
 }
 
+std::uint64_t
+LeaderDriver::GetMembersIndex() const
+{
+  std::uint64_t index = 0;
+  for (const auto& [at, members] : member_.Consensus().log_.members_) {
+    index = at <= member_.Consensus().commitIndex_ ? at + 1 : index;
+  }
+  return index;
+}
+
 void
 LeaderDriver::AddMembers(const foundation::HostId& aHost,
                          wire::HeartbeatReply& aReply) const
 {
-  const auto& log = member_.Consensus().log_;
-  const std::uint64_t committed = member_.Consensus().commitIndex_;
-  // Starts at one, as a host that knows no members reports zero.
-  std::uint64_t index = 0;
-  for (const auto& [at, members] : log.members_) {
-    index = at <= committed ? at + 1 : index;
-  }
+  const std::uint64_t index = GetMembersIndex();
   const auto known = knownMembersIndex_.find(aHost);
-  const auto& members = core::consensus::MembersAt(log, committed);
+  const auto& members = core::consensus::MembersAt(
+    member_.Consensus().log_, member_.Consensus().commitIndex_);
   const bool isOutdated =
     !members.voters().empty() &&
     (known == knownMembersIndex_.end() || known->second < index);
--- a/apps/wigeonlbd/control/leaderdriver.h
+++ b/apps/wigeonlbd/control/leaderdriver.h
@@ -39,6 +39,9 @@
 
   void OnTick();
   void OnHeartbeat(wire::Heartbeat aHeartbeat);
+  //! Version of the committed list of members, as in heartbeats and replies.
+  //! Starts at one, as a host that knows no members reports zero.
+  std::uint64_t GetMembersIndex() const;
   void OnApplied(const core::configuration::ApplyResult& aResult);
   void OnReplaced();
   void OnLeadership(const core::consensus::LeadershipChanged& aChange);
