--- a/apps/wigeonlbd/control/controlpeers.cpp
+++ b/apps/wigeonlbd/control/controlpeers.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+//! Senders of heartbeats that are kept until the next list of hosts.
+constexpr std::size_t kMaxUnlistedHosts = 1024;
+
 //! A member without an address is left out.
 std::map<foundation::HostId, std::string>
 ListMemberAddresses(const wire::MemberChange& aMembers)
@@ -69,9 +72,11 @@
 void
 ControlRuntime::SetMemberAddresses()
 {
-  memberAddresses_ = toldAddresses_;
-  memberAddresses_.insert(storedAddresses_.begin(), storedAddresses_.end());
-  memberAddresses_.insert(seedAddresses_.begin(), seedAddresses_.end());
+  memberAddresses_ = seedAddresses_;
+  for (const auto* const source :
+       { &toldAddresses_, &storedAddresses_, &formerSeedAddresses_ }) {
+    memberAddresses_.insert(source->begin(), source->end());
+  }
   SetPeers();
 }
 
@@ -79,6 +84,7 @@
 ControlRuntime::ApplyMembers(const wire::MemberChange& aMembers)
 {
   toldAddresses_ = { aMembers.addresses().begin(), aMembers.addresses().end() };
+  formerSeedAddresses_.clear();
   submitter_->SetMembers(
     { aMembers.voters().begin(), aMembers.voters().end() });
   SetMemberAddresses();
@@ -117,7 +123,7 @@
                      memberAddresses_.contains(aHost.host()) ||
                      (newcomer != unlistedHosts_.end() &&
                       newcomer->second == aHost.peer_address());
-  if (!known) {
+  if (!known && unlistedHosts_.size() < kMaxUnlistedHosts) {
     unlistedHosts_[aHost.host()] = aHost.peer_address();
     SetPeers();
     agent_->OnSender(aHost.host());
@@ -132,6 +138,10 @@
       return;
     }
     std::vector<foundation::HostId> names;
+    // Until a list of members has come, the former seeds may be all that this
+    // host knows.
+    formerSeedAddresses_.merge(seedAddresses_);
+    seedAddresses_.clear();
     for (const settings::ControlMember& seed : seeds) {
       seedAddresses_[seed.host_] = seed.peerAddress_;
       names.push_back(seed.host_);
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -115,8 +115,8 @@
   void OnTick();
   void AnswerChangesInForce();
   void SetPeers();
-  //! Merges the addresses of the three sources into memberAddresses_ and opens
-  //! links to these hosts.
+  //! Merges the addresses of all sources into memberAddresses_ and opens links
+  //! to these hosts.
   void SetMemberAddresses();
   std::size_t GetWantedVoterCount() const;
   //! Sends requests to the new control members from now on. Control members
@@ -143,10 +143,13 @@
   std::uint64_t boot_;
   const target::Protocol& targets_;
   PromotionPort promote_;
-  //! Peer addresses by source. For a host in several, the first source counts.
-  std::map<foundation::HostId, std::string> toldAddresses_;   //!< newest list
+  //! Peer addresses by source. For a host in several, the first source counts:
+  //! what operators have set is newer than what the log was told.
+  std::map<foundation::HostId, std::string> seedAddresses_; //!< of the settings
+  std::map<foundation::HostId, std::string> toldAddresses_; //!< newest list
   std::map<foundation::HostId, std::string> storedAddresses_; //!< own log
-  std::map<foundation::HostId, std::string> seedAddresses_; //!< since the start
+  //! Of former settings, until a list of members has come.
+  std::map<foundation::HostId, std::string> formerSeedAddresses_;
   std::map<foundation::HostId, std::string> memberAddresses_; //!< of them all
   std::vector<wire::HostInfo> hosts_;
   //! Peer addresses of hosts that sent a heartbeat and are not in hosts_ yet.
