--- a/packages/core/grants/holder.cpp
+++ b/packages/core/grants/holder.cpp
@@ -78,6 +78,7 @@
     aState.hosts_.clear();
   }
   aState.hostsVersion_ = aReply.hosts_version();
+  aState.senders_.clear();
   for (const auto& host : aReply.hosts()) {
     aState.hosts_[host.host()] = host;
   }
