--- a/apps/wigeonlbd/settings/daemonsettings.cpp
+++ b/apps/wigeonlbd/settings/daemonsettings.cpp
@@ -176,8 +176,8 @@
   double seconds = 0;
   const char* const end = aText.data() + aText.size();
   const auto result = std::from_chars(aText.data(), end, seconds);
-  if (result.ec != std::errc() || result.ptr != end || seconds <= 0 ||
-      seconds > kMaxGraceSeconds) {
+  if (result.ec != std::errc() || result.ptr != end ||
+      !(seconds > 0 && seconds <= kMaxGraceSeconds)) { // also not a number
     AddFinding(aFindings,
                std::string(aLocation),
                "expected seconds above 0 and up to 3600, not '" +
--- a/apps/wigeonlbd/tests/settingsfile_tests.cpp
+++ b/apps/wigeonlbd/tests/settingsfile_tests.cpp
@@ -82,6 +82,8 @@
     { "no-such = 1", "unknown setting" },
     { "grace-s = [1]", "expected a string, a number" },
     { "grace-s = \"soon\"", "expected seconds above 0" },
+    { "grace-s = \"nan\"", "expected seconds above 0" },
+    { "grace-s = \"inf\"", "expected seconds above 0" },
     { "founding = \"maybe\"", "expected on or off" },
     { "control-seeds = \"x\"", "expected ip:port" },
     { "tolerated-losses = 9", "from 0 to 3" },
