--- a/packages/core/grants/tests/configurationdelivery.cpp
+++ b/packages/core/grants/tests/configurationdelivery.cpp
@@ -1,24 +1,18 @@
 #include "core/grants/tests/configurationdelivery.h"
 
 #include <algorithm>
-#include <random>
 
 #include <catch2/catch.hpp>
 
-#include "core/configuration/delivery.h"
-#include "core/configuration/hostconfiguration.h"
-#include "core/grants/holder.h"
+#include "core/grants/tests/deliveryworld.h"
 
 namespace wigeonlb::core::grants {
 
 namespace {
 
 using namespace std::chrono_literals;
-using configuration::HostConfiguration;
+using namespace delivery;
 using foundation::Duration;
-using foundation::HostId;
-using foundation::Instant;
-using foundation::Revision;
 
 constexpr Duration kStep = 5ms;
 constexpr Duration kTroubleTime = 20s;
@@ -28,83 +22,26 @@
 constexpr Duration kCalmTime = 8s;
 //! Between two losses for good of a member.
 constexpr Duration kLossInterval = 6s;
+//! The same if all members are to be replaced within a long cut.
+constexpr Duration kShortLossInterval = 1500ms;
+constexpr Duration kMaxPause = 5s;
+constexpr Duration kMaxCut = 5s;
+constexpr Duration kMaxLongCut = 20s;
 constexpr std::size_t kHosts = 3;
 constexpr std::size_t kVoters = 3;
-constexpr std::size_t kSeeds = 3;
+constexpr std::size_t kSeeds = 3; //!< that a host is told at its start
 
-//! A control member: the revision that it has applied, and what it has sent.
-struct Member
+//! What a draw may bring.
+enum class Trouble
 {
-  HostId id_;
-  bool up_ = true;
-  Revision applied_ = 0;
-  configuration::Delivery delivery_;
+  Pause,
+  Cut,
+  Restart,
+  LeaderLost,
+  MemberReplaced,
+  MemberRestarted,
 };
-
-struct Host
-{
-  HostId id_;
-  HolderState holder_;
-  HostConfiguration configuration_;
-  Instant goesOnAt_;           //!< stands still until then
-  Instant cutUntil_;           //!< reaches no other host until then
-  wire::MemberChange members_; //!< as last told
-  Revision highest_ = 0;       //!< in force since the present start
-};
-
-struct Message
-{
-  Instant at_;
-  HostId to_;
-  std::optional<wire::Heartbeat> heartbeat_;
-  std::optional<wire::HeartbeatReply> reply_;
-};
-
-struct World
-{
-  std::mt19937_64 random_;
-  ScheduleSettings settings_;
-  Instant now_{ 1h };
-  Instant calmAt_;
-  Instant nextLossAt_;
-  std::vector<wire::ControlState> history_{ 1 }; //!< by revision
-  std::vector<Instant> decidedAt_{ Instant{} };
-  std::map<HostId, Member> members_;
-  wire::MemberChange current_;
-  std::uint64_t membersIndex_ = 1;
-  HostId leader_; //!< empty: none
-  int lastMember_ = 0;
-  std::uint64_t lastBoot_ = 0;
-  std::vector<Host> hosts_;
-  std::vector<Message> messages_;
-  Violations violations_;
-};
-
-std::uint64_t
-Draw(World& aWorld, std::uint64_t aBelow)
-{
-  return aWorld.random_() % aBelow;
-}
-
-bool
-IsCalm(const World& aWorld)
-{
-  return aWorld.now_ >= aWorld.calmAt_;
-}
-
-Revision
-Newest(const World& aWorld)
-{
-  return aWorld.history_.size() - 1;
-}
-
-//! The newest revision that was decided on at a time.
-Revision
-NewestAt(const World& aWorld, Instant aAt)
-{
-  const auto after = std::ranges::upper_bound(aWorld.decidedAt_, aAt);
-  return static_cast<Revision>(after - aWorld.decidedAt_.begin()) - 1;
-}
+constexpr std::uint64_t kTroubles = 6;
 
 //! Adds a group, and drops the one before in half of the cases, so that deltas
 //! also lack dropped groups.
@@ -143,15 +80,6 @@
   ++aWorld.membersIndex_;
 }
 
-std::vector<HostId>
-ListMembers(const wire::MemberChange& aMembers)
-{
-  std::vector<HostId> names(aMembers.voters().begin(), aMembers.voters().end());
-  names.insert(
-    names.end(), aMembers.learners().begin(), aMembers.learners().end());
-  return names;
-}
-
 //! Returns whether the name was there.
 template<class Names>
 bool
@@ -171,14 +99,20 @@
 GetLossInterval(const World& aWorld)
 {
   return aWorld.settings_.source_ == MemberSource::Seeds ? kLossInterval
-                                                         : 1500ms;
+                                                         : kShortLossInterval;
+}
+
+Duration
+DrawUpTo(World& aWorld, Duration aLongest)
+{
+  return Duration(Draw(aWorld, aLongest.count()));
 }
 
 Duration
 DrawCut(World& aWorld)
 {
   const bool isShort = aWorld.settings_.source_ == MemberSource::Seeds;
-  return Duration(Draw(aWorld, isShort ? 5'000'000 : 20'000'000));
+  return DrawUpTo(aWorld, isShort ? kMaxCut : kMaxLongCut);
 }
 
 //! Replaces a member that does not lead for good.
@@ -419,44 +353,41 @@
 //! Without settings to read, a host that starts again could find nobody, and
 //! one host at least must hear of each change of members.
 bool
-IsSpared(const World& aWorld, const Host& aHost, std::uint64_t aTrouble)
+IsSpared(const World& aWorld, const Host& aHost, Trouble aTrouble)
 {
-  constexpr std::uint64_t kPause = 0;
-  constexpr std::uint64_t kCut = 1;
-  constexpr std::uint64_t kRestart = 2;
   if (aWorld.settings_.source_ == MemberSource::Seeds) {
     return false;
   }
   const bool isFirst = &aHost == &aWorld.hosts_.front();
-  return aTrouble == kRestart ||
-         (isFirst && (aTrouble == kPause || aTrouble == kCut));
+  return aTrouble == Trouble::Restart ||
+         (isFirst && (aTrouble == Trouble::Pause || aTrouble == Trouble::Cut));
 }
 
 void
 Disturb(World& aWorld)
 {
   Host& host = aWorld.hosts_[Draw(aWorld, kHosts)];
-  const std::uint64_t trouble = Draw(aWorld, 6);
+  const auto trouble = static_cast<Trouble>(Draw(aWorld, kTroubles));
   if (IsSpared(aWorld, host, trouble)) {
     return;
   }
   switch (trouble) {
-    case 0:
-      host.goesOnAt_ = aWorld.now_ + Duration(Draw(aWorld, 5'000'000));
+    case Trouble::Pause:
+      host.goesOnAt_ = aWorld.now_ + DrawUpTo(aWorld, kMaxPause);
       return;
-    case 1:
+    case Trouble::Cut:
       host.cutUntil_ = aWorld.now_ + DrawCut(aWorld);
       return;
-    case 2:
+    case Trouble::Restart:
       StartHost(aWorld, host);
       return;
-    case 3:
+    case Trouble::LeaderLost:
       aWorld.leader_.clear();
       return;
-    case 4:
+    case Trouble::MemberReplaced:
       ReplaceMember(aWorld);
       return;
-    default: {
+    case Trouble::MemberRestarted: {
       // A member starts again from its snapshot.
       const std::vector<HostId> members = ListMembers(aWorld.current_);
       Member& member =
