--- a/packages/core/configuration/applyrecord.cpp
+++ b/packages/core/configuration/applyrecord.cpp
@@ -1,10 +1,10 @@
 #include "core/configuration/applyrecord.h"
 
 #include <algorithm>
-#include <set>
 
 #include "core/configuration/internal/changedraft.h"
 #include "core/configuration/internal/decisions.h"
+#include "core/configuration/internal/numberedentries.h"
 #include "core/configuration/internal/removeif.h"
 
 namespace wigeonlb::core::configuration {
@@ -51,74 +51,6 @@
   }
 }
 
-bool
-SameDatabase(const wire::DatabaseState& aPresent, wire::DatabaseState aWanted)
-{
-  aWanted.set_revision(aPresent.revision());
-  return aPresent.SerializeAsString() == aWanted.SerializeAsString();
-}
-
-void
-RecordDroppedDatabase(wire::ControlState& aState, const std::string& aName)
-{
-  wire::DroppedDatabase& dropped = *aState.add_dropped_databases();
-  dropped.set_database(aName);
-  dropped.set_revision(aState.revision());
-  if (aState.dropped_databases_size() > kDroppedDatabasesLimit) {
-    aState.set_dropped_horizon(std::max(
-      aState.dropped_horizon(), aState.dropped_databases(0).revision()));
-    aState.mutable_dropped_databases()->DeleteSubrange(0, 1);
-  }
-}
-
-void
-DropMissingDatabases(wire::ControlState& aState,
-                     const wire::NumberedConfiguration& aConfiguration)
-{
-  std::set<std::string> missing;
-  for (const auto& [name, database] : aState.databases()) {
-    missing.insert(name);
-  }
-  for (const wire::DatabaseState& database : aConfiguration.databases()) {
-    missing.erase(database.database());
-  }
-  for (const std::string& name : missing) {
-    aState.mutable_databases()->erase(name);
-    RecordDroppedDatabase(aState, name);
-  }
-}
-
-//! Called when a database is defined again after it was dropped.
-void
-RemoveDroppedDatabase(wire::ControlState& aState, const std::string& aName)
-{
-  RemoveIf(*aState.mutable_dropped_databases(),
-           [&](const auto& aDropped) { return aDropped.database() == aName; });
-}
-
-//! Unchanged databases keep their revision, so that deltas contain only the
-//! others.
-void
-AdoptConfiguration(wire::ControlState& aState,
-                   const wire::NumberedConfiguration& aConfiguration)
-{
-  DropMissingDatabases(aState, aConfiguration);
-  for (const wire::DatabaseState& wanted : aConfiguration.databases()) {
-    const auto present = aState.databases().find(wanted.database());
-    if (present != aState.databases().end() &&
-        SameDatabase(present->second, wanted)) {
-      continue;
-    }
-    RemoveDroppedDatabase(aState, wanted.database());
-    wire::DatabaseState& database =
-      (*aState.mutable_databases())[wanted.database()];
-    database = wanted;
-    database.set_revision(aState.revision());
-  }
-  aState.set_document_number(aConfiguration.number());
-  aState.set_document(aConfiguration.document());
-}
-
 void
 ApplyDraft(wire::ControlState& aState,
            ChangeDraft& aDraft,
@@ -145,7 +77,7 @@
     }
   }
   if (aDraft.adopted_) {
-    AdoptConfiguration(aState, *aDraft.adopted_);
+    AdoptEntries(aState, *aDraft.adopted_);
   }
 }
 
--- a/packages/core/configuration/applyrecord.h
+++ b/packages/core/configuration/applyrecord.h
@@ -19,8 +19,9 @@
 //! Number of dropped groups recorded for deltas.
 constexpr int kDroppedGroupsLimit = 64;
 
-//! Number of dropped databases recorded for deltas.
-constexpr int kDroppedDatabasesLimit = 1024;
+//! Number of dropped databases, and of dropped organisations, recorded for
+//! deltas.
+constexpr int kDroppedEntriesLimit = 1024;
 
 //! Number of term starts kept in the history of a group.
 constexpr int kHistoryLimit = 32;
--- a/packages/core/configuration/configurationview.cpp
+++ b/packages/core/configuration/configurationview.cpp
@@ -66,6 +66,20 @@
   }
 }
 
+void
+UpdateOrganisations(ConfigurationView& aView,
+                    const wire::HeartbeatReply& aReply)
+{
+  auto& organisations = *aView.state_.mutable_organisations();
+  for (const std::string& name : aReply.dropped_organisations()) {
+    organisations.erase(name);
+  }
+  for (const wire::OrganisationState& organisation : aReply.organisations()) {
+    organisations[organisation.organisation()] = organisation;
+  }
+  aView.state_.set_identifies_organisations(aReply.identifies_organisations());
+}
+
 } // namespace
 
 ViewChange
@@ -89,6 +103,7 @@
   if (aReply.whole()) {
     DropMissing(aView, aReply, change);
     aView.state_.mutable_databases()->clear();
+    aView.state_.mutable_organisations()->clear();
   }
   for (const std::string& name : aReply.dropped_groups()) {
     DropGroup(aView, name, change);
@@ -97,6 +112,7 @@
     UpdateGroup(aView, group, change);
   }
   UpdateDatabases(aView, aReply);
+  UpdateOrganisations(aView, aReply);
   change.settingsChanged_ = !SameSettings(aView.state_, aReply);
   *aView.state_.mutable_settings() = aReply.settings();
   aView.state_.set_revision(aReply.revision());
--- a/packages/core/configuration/configurationview.h
+++ b/packages/core/configuration/configurationview.h
@@ -12,7 +12,7 @@
 //! The configuration in force at a host.
 struct ConfigurationView
 {
-  //! Only the revision, groups, databases and settings are set.
+  //! Only the revision, groups, databases, organisations and settings are set.
   wire::ControlState state_;
   //! Highest revision that any control member has reported.
   foundation::Revision highestRevisionSeen_ = 0;
--- a/packages/core/configuration/delta.cpp
+++ b/packages/core/configuration/delta.cpp
@@ -19,6 +19,11 @@
       aReply.add_dropped_databases(dropped.database());
     }
   }
+  for (const auto& dropped : aState.dropped_organisations()) {
+    if (dropped.revision() > aSince) {
+      aReply.add_dropped_organisations(dropped.organisation());
+    }
+  }
 }
 
 } // namespace
@@ -36,6 +41,7 @@
   reply.set_whole(whole);
   reply.set_base_revision(whole ? 0 : aSince);
   *reply.mutable_settings() = aState.settings();
+  reply.set_identifies_organisations(aState.identifies_organisations());
   for (const auto& [name, group] : aState.groups()) {
     if (whole || group.revision() > aSince) {
       *reply.add_groups() = group;
@@ -46,6 +52,11 @@
       *reply.add_databases() = database;
     }
   }
+  for (const auto& [name, organisation] : aState.organisations()) {
+    if (whole || organisation.revision() > aSince) {
+      *reply.add_organisations() = organisation;
+    }
+  }
   if (!whole) {
     AddDropped(aState, aSince, reply);
   }
--- a/packages/core/configuration/internal/changedraft.cpp
+++ b/packages/core/configuration/internal/changedraft.cpp
@@ -198,6 +198,31 @@
            : drafted->second.has_value();
 }
 
+//! A key identifies one organisation. Findings don't contain the digest, which
+//! would help to guess a short key.
+void
+CheckOrganisations(Context& aContext,
+                   const wire::NumberedConfiguration& aConfiguration)
+{
+  std::set<std::string> names;
+  std::map<std::string, std::string> holders;
+  for (const auto& organisation : aConfiguration.organisations()) {
+    const std::string& name = organisation.organisation();
+    if (name.empty() || !names.insert(name).second) {
+      Refuse(aContext,
+             "organisation '" + name + "' is named twice or not at all");
+    }
+    for (const std::string& digest : organisation.key_digests()) {
+      const auto [holder, added] = holders.try_emplace(digest, name);
+      if (!added) {
+        Refuse(aContext,
+               "organisations " + holder->second + " and " + name +
+                 " share a key");
+      }
+    }
+  }
+}
+
 //! The configuration with the highest number is in force. One with the same or
 //! a lower number has no effect, even if its contents differ.
 void
@@ -223,6 +248,7 @@
                database.group());
     }
   }
+  CheckOrganisations(aContext, aConfiguration);
   aContext.draft_.adopted_ = aConfiguration;
 }
 
--- a/packages/core/configuration/tests/numbered_tests.cpp
+++ b/packages/core/configuration/tests/numbered_tests.cpp
@@ -167,4 +167,92 @@
   CHECK(state.groups().at("g").history(0).term() == 2);
 }
 
+namespace {
+
+//! Rate limit by organisation; the key of each is its name.
+using Organisations = std::map<std::string, double>;
+
+wire::ControlRecord
+AdoptOrganisations(std::uint64_t aNumber, const Organisations& aOrganisations)
+{
+  wire::ControlRecord record = Adopt(aNumber, { { "d", 1 } });
+  auto& adopt =
+    *record.mutable_change()->mutable_operations(0)->mutable_adopt();
+  adopt.set_identifies_organisations(true);
+  for (const auto& [name, rate] : aOrganisations) {
+    auto& organisation = *adopt.add_organisations();
+    organisation.set_organisation(name);
+    organisation.add_key_digests(name);
+    organisation.set_rate_per_s(rate);
+  }
+  return record;
+}
+
+Organisations
+GetOrganisations(const wire::ControlState& aState)
+{
+  Organisations organisations;
+  for (const auto& [name, organisation] : aState.organisations()) {
+    organisations[name] = organisation.rate_per_s();
+  }
+  return organisations;
+}
+
+} // namespace
+
+// Guards against hosts that serve a withdrawn key, or refuse a new one.
+TEST_CASE("hosts receive changed and dropped organisations by deltas",
+          "[configuration][numbered]")
+{
+  const Organisations steps[] = {
+    { { "a", 1 }, { "b", 1 } },
+    { { "a", 1 } },
+    { { "a", 2 }, { "b", 3 }, { "c", 1 } },
+    {},
+    { { "b", 1 } },
+  };
+  wire::ControlState state;
+  ConfigurationView view;
+  std::uint64_t number = 0;
+  for (const Organisations& step : steps) {
+    CHECK(Apply(state, AdoptOrganisations(++number, step)).change_->accepted());
+    CHECK(GetOrganisations(state) == step);
+    const auto reply = DeltaSince(state, view.state_.revision());
+    CHECK(reply.whole() == (number == 1));
+    ApplyReply(view, reply);
+    CHECK(GetOrganisations(view.state_) == step);
+    CHECK(view.state_.identifies_organisations());
+  }
+  Apply(state, Adopt(++number, { { "d", 1 } }));
+  ApplyReply(view, DeltaSince(state, view.state_.revision()));
+  CHECK_FALSE(view.state_.identifies_organisations());
+}
+
+TEST_CASE("a delta has only the organisations that have changed",
+          "[configuration][numbered]")
+{
+  wire::ControlState state;
+  Apply(state, AdoptOrganisations(1, { { "a", 1 }, { "b", 1 } }));
+  const foundation::Revision before = state.revision();
+  Apply(state, AdoptOrganisations(2, { { "a", 1 }, { "b", 2 } }));
+  const auto reply = DeltaSince(state, before);
+  REQUIRE(reply.organisations_size() == 1);
+  CHECK(reply.organisations(0).organisation() == "b");
+}
+
+TEST_CASE("two organisations can't share a key", "[configuration][numbered]")
+{
+  wire::ControlRecord record =
+    AdoptOrganisations(1, { { "a", 1 }, { "b", 1 } });
+  record.mutable_change()
+    ->mutable_operations(0)
+    ->mutable_adopt()
+    ->mutable_organisations(1)
+    ->add_key_digests("a");
+  wire::ControlState state;
+  const ApplyResult result = Apply(state, record);
+  CHECK_FALSE(result.change_->accepted());
+  CHECK(state.organisations().empty());
+}
+
 } // namespace wigeonlb::core::configuration
