--- a/packages/core/admission/fairqueue.cpp
+++ b/packages/core/admission/fairqueue.cpp
@@ -6,76 +6,179 @@
 
 namespace {
 
-// If there are more tenants, those without items are removed.
+// If a band has more tenants, those without items are removed.
 constexpr std::size_t kMaxTenants = 1024;
 
+// A band is owed at most the service of this many items, so that one that has
+// waited for long doesn't delay the others for long.
+constexpr double kMaxOwedItems = 4;
+
+// Ranks of two adjacent priorities differ by this.
+constexpr std::uint64_t kRankStep = 2;
+
+// What can't meet its objective comes behind the next lower priority, and
+// before the one after that.
+constexpr std::uint64_t kLatePenalty = 3;
+
+std::uint64_t
+GetRank(const QueueItem& aItem)
+{
+  return aItem.priority_ * kRankStep;
+}
+
+std::uint64_t
+GetLateRank(const QueueItem& aItem)
+{
+  return GetRank(aItem) + kLatePenalty;
+}
+
 void
-DropIdleTenants(FairQueue& aQueue)
+DropIdleTenants(Band& aBand)
 {
-  if (aQueue.tenants_.size() <= kMaxTenants) {
+  if (aBand.tenants_.size() <= kMaxTenants) {
     return;
   }
-  std::erase_if(aQueue.tenants_, [](const auto& aEntry) {
+  std::erase_if(aBand.tenants_, [](const auto& aEntry) {
     return aEntry.second.items_.empty();
   });
 }
 
-} // namespace
-
 void
-Push(FairQueue& aQueue, QueueItem& aItem)
+PushToBand(FairQueue& aQueue, QueueItem& aItem, std::uint64_t aRank)
 {
-  DropIdleTenants(aQueue);
-  TenantQueue& tenant = aQueue.tenants_[aItem.tenant_];
+  Band& band = aQueue.bands_[aRank];
+  aItem.rank_ = aRank;
+  DropIdleTenants(band);
+  TenantQueue& tenant = band.tenants_[aItem.tenant_];
   if (tenant.items_.empty()) {
     tenant.tenant_ = aItem.tenant_;
-    if (!aQueue.active_.empty()) {
-      tenant.served_ =
-        std::max(tenant.served_, aQueue.active_.begin()->served_);
+    if (!band.active_.empty()) {
+      tenant.served_ = std::max(tenant.served_, band.active_.begin()->served_);
     }
-    aQueue.active_.insert(tenant);
+    band.active_.insert(tenant);
   }
   tenant.items_.insert(aItem);
+  ++band.size_;
   ++aQueue.size_;
 }
 
+// What the bands behind the served one are owed now.
+void
+ChargeBands(FairQueue& aQueue, std::uint64_t aRank, double aCost)
+{
+  aQueue.lastCost_ = aCost;
+  for (auto& [rank, band] : aQueue.bands_) {
+    if (rank > aRank && band.size_ > 0) {
+      band.owed_ =
+        std::min(band.owed_ + aCost * kReservedShare / (1 - kReservedShare),
+                 aCost * kMaxOwedItems);
+    }
+  }
+  Band& served = aQueue.bands_.at(aRank);
+  served.owed_ = std::max(served.owed_ - aCost, 0.0);
+}
+
+} // namespace
+
+void
+Push(FairQueue& aQueue, QueueItem& aItem)
+{
+  PushToBand(aQueue, aItem, GetRank(aItem));
+}
+
 void
 Remove(FairQueue& aQueue, QueueItem& aItem)
 {
-  TenantQueue& tenant = aQueue.tenants_.at(aItem.tenant_);
+  Band& band = aQueue.bands_.at(aItem.rank_);
+  TenantQueue& tenant = band.tenants_.at(aItem.tenant_);
   tenant.items_.erase(tenant.items_.iterator_to(aItem));
+  --band.size_;
   --aQueue.size_;
   if (tenant.items_.empty()) {
-    aQueue.active_.erase(aQueue.active_.iterator_to(tenant));
+    band.active_.erase(band.active_.iterator_to(tenant));
+  }
+  if (band.size_ == 0) {
+    band.owed_ = 0;
   }
 }
 
 void
 Serve(FairQueue& aQueue, QueueItem& aItem, foundation::Duration aCost)
 {
-  TenantQueue& tenant = aQueue.tenants_.at(aItem.tenant_);
+  const auto cost = static_cast<double>(aCost.count());
+  Band& band = aQueue.bands_.at(aItem.rank_);
+  TenantQueue& tenant = band.tenants_.at(aItem.tenant_);
+  ChargeBands(aQueue, aItem.rank_, cost);
   Remove(aQueue, aItem);
   const bool active = tenant.activeHook_.is_linked();
   if (active) {
-    aQueue.active_.erase(aQueue.active_.iterator_to(tenant));
+    band.active_.erase(band.active_.iterator_to(tenant));
   }
-  tenant.served_ += static_cast<double>(aCost.count());
+  tenant.served_ += cost;
   if (active) {
-    aQueue.active_.insert(tenant);
+    band.active_.insert(tenant);
   }
 }
 
+void
+DemoteLate(FairQueue& aQueue, foundation::Instant aEnd)
+{
+  std::vector<QueueItem*> late;
+  for (auto& [rank, band] : aQueue.bands_) {
+    for (TenantQueue& tenant : band.active_) {
+      for (QueueItem& item : tenant.items_) {
+        if (ByObjective()(item) >= aEnd) {
+          break;
+        }
+        if (item.objectiveAt_ < aEnd && item.rank_ != GetLateRank(item)) {
+          late.push_back(&item);
+        }
+      }
+    }
+  }
+  for (QueueItem* const item : late) {
+    Remove(aQueue, *item);
+    PushToBand(aQueue, *item, GetLateRank(*item));
+  }
+}
+
+std::vector<Band*>
+ListBands(FairQueue& aQueue)
+{
+  std::vector<Band*> bands;
+  for (auto& [rank, band] : aQueue.bands_) {
+    if (band.size_ > 0) {
+      bands.push_back(&band);
+    }
+  }
+  std::ranges::stable_partition(bands, [&](const Band* aBand) {
+    return aBand->owed_ > 0 && aBand->owed_ >= aQueue.lastCost_;
+  });
+  return bands;
+}
+
 std::size_t
-CountAhead(const FairQueue& aQueue, const foundation::Tenant& aTenant)
+CountAhead(const FairQueue& aQueue, const QueueItem& aItem)
 {
-  const auto own = aQueue.tenants_.find(aTenant);
-  const std::size_t ownItems =
-    own == aQueue.tenants_.end() ? 0 : own->second.items_.size();
   std::size_t ahead = 0;
-  for (const TenantQueue& tenant : aQueue.active_) {
-    ahead += std::min(tenant.items_.size(), ownItems + 1);
+  for (const auto& [rank, band] : aQueue.bands_) {
+    if (rank > GetRank(aItem)) {
+      break;
+    }
+    if (rank < GetRank(aItem)) {
+      ahead += band.size_;
+      continue;
+    }
+    const auto own = band.tenants_.find(aItem.tenant_);
+    const std::size_t ownItems =
+      own == band.tenants_.end() ? 0 : own->second.items_.size();
+    std::size_t sameRank = 0;
+    for (const TenantQueue& tenant : band.active_) {
+      sameRank += std::min(tenant.items_.size(), ownItems + 1);
+    }
+    ahead += std::min(sameRank, band.size_);
   }
-  return std::min(ahead, aQueue.size_);
+  return ahead;
 }
 
 } // namespace wigeonlb::core::admission
--- a/packages/core/admission/fairqueue.h
+++ b/packages/core/admission/fairqueue.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <map>
+#include <vector>
 
 #include <boost/intrusive/set.hpp>
 
@@ -19,21 +23,25 @@
 {
   foundation::Tenant tenant_;
   foundation::Instant deadline_;
+  //! End of the caller's latency objective, if it has one.
+  foundation::Instant objectiveAt_ = foundation::Instant::max();
+  std::uint32_t priority_ = 0; //!< 0 is the highest
+  std::uint64_t rank_ = 0;     //!< of the band that it is in; set by Push
   intrusive::set_member_hook<> queueHook_;
 };
 
-struct ByDeadline
+struct ByObjective
 {
   using type = foundation::Instant;
   const type& operator()(const QueueItem& aItem) const
   {
-    return aItem.deadline_;
+    return std::min(aItem.objectiveAt_, aItem.deadline_);
   }
 };
 
-using DeadlineOrder =
+using ObjectiveOrder =
   intrusive::multiset<QueueItem,
-                      intrusive::key_of_value<ByDeadline>,
+                      intrusive::key_of_value<ByObjective>,
                       intrusive::member_hook<QueueItem,
                                              intrusive::set_member_hook<>,
                                              &QueueItem::queueHook_>>;
@@ -42,7 +50,7 @@
 struct TenantQueue
 {
   foundation::Tenant tenant_;
-  DeadlineOrder items_;
+  ObjectiveOrder items_;
   //! Service time charged so far, in microseconds. The tenant with the lowest
   //! value is served next.
   double served_ = 0;
@@ -65,15 +73,34 @@
                                              intrusive::set_member_hook<>,
                                              &TenantQueue::activeHook_>>;
 
-//! Queue of the items of many tenants. The tenant with the least service time
-//! goes first; within a tenant, the item with the earliest deadline.
-struct FairQueue
+//! Items of one priority, either those that can still meet their objective or
+//! those that can't. The tenant with the least service time goes first; within
+//! a tenant, the item with the earliest objective or deadline.
+struct Band
 {
   std::map<foundation::Tenant, TenantQueue> tenants_;
   ServiceOrder active_;
   std::size_t size_ = 0;
+  //! Service time due to the band while bands before it are served, in
+  //! microseconds.
+  double owed_ = 0;
+};
+
+//! Queue of the items of many tenants with priorities, for more load than there
+//! is room for. Bands are served by priority; items that can no longer meet
+//! their objective come behind those of the next lower priority that can,
+//! because a late answer is worth little. A band gets at least
+//! kReservedShare of the service time, so that none starves.
+struct FairQueue
+{
+  std::map<std::uint64_t, Band> bands_; //!< by rank, lowest first
+  std::size_t size_ = 0;
+  double lastCost_ = 0; //!< of the item served last, in microseconds
 };
 
+//! Part of the service time that a band receives while others are before it.
+constexpr double kReservedShare = 0.1;
+
 //! Adds an item, which must not be in any queue. The service time of a tenant
 //! without queued items is raised to the lowest one of the queued tenants, so
 //! that an idle tenant accumulates no advantage.
@@ -88,23 +115,42 @@
 void
 Serve(FairQueue& aQueue, QueueItem& aItem, foundation::Duration aCost);
 
-//! Estimates how many items are served before a new item of this tenant.
+//! Moves the items whose objective ends before aEnd, when an item that is
+//! served now will be finished, behind those that can meet theirs.
+void
+DemoteLate(FairQueue& aQueue, foundation::Instant aEnd);
+
+//! The bands in the order in which they are served now.
+std::vector<Band*>
+ListBands(FairQueue& aQueue);
+
+//! Estimates how many items are served before a new item.
 std::size_t
-CountAhead(const FairQueue& aQueue, const foundation::Tenant& aTenant);
+CountAhead(const FairQueue& aQueue, const QueueItem& aItem);
 
 //! Returns the first of the next aLimit items that satisfies the predicate, or
-//! null. The predicate must not change the queue.
+//! null; of each tenant, only the first aTenantLimit items are examined. The
+//! predicate must not change the queue.
 template<class Predicate>
 QueueItem*
-FindNext(FairQueue& aQueue, std::size_t aLimit, Predicate aMatches)
+FindNext(FairQueue& aQueue,
+         std::size_t aLimit,
+         Predicate aMatches,
+         std::size_t aTenantLimit = std::numeric_limits<std::size_t>::max())
 {
-  for (TenantQueue& tenant : aQueue.active_) {
-    for (QueueItem& item : tenant.items_) {
-      if (aLimit-- == 0) {
-        return nullptr;
-      }
-      if (aMatches(item)) {
-        return &item;
+  for (Band* const band : ListBands(aQueue)) {
+    for (TenantQueue& tenant : band->active_) {
+      std::size_t left = aTenantLimit;
+      for (QueueItem& item : tenant.items_) {
+        if (left-- == 0) {
+          break;
+        }
+        if (aLimit-- == 0) {
+          return nullptr;
+        }
+        if (aMatches(item)) {
+          return &item;
+        }
       }
     }
   }
--- a/packages/core/admission/tests/fairqueue_tests.cpp
+++ b/packages/core/admission/tests/fairqueue_tests.cpp
@@ -40,6 +40,97 @@
   CHECK(queue.size_ == 0);
 }
 
+namespace {
+
+struct PlannedItem
+{
+  std::string name_;
+  std::uint32_t priority_ = 0;
+  std::chrono::milliseconds objective_{ 0 };
+};
+
+void
+PushAll(FairQueue& aQueue,
+        std::list<QueueItem>& aItems,
+        const std::vector<PlannedItem>& aPlanned)
+{
+  for (const PlannedItem& planned : aPlanned) {
+    QueueItem& item = aItems.emplace_back();
+    item.tenant_ = planned.name_;
+    item.deadline_ = Instant(10s);
+    item.objectiveAt_ = Instant(planned.objective_);
+    item.priority_ = planned.priority_;
+    Push(aQueue, item);
+  }
+}
+
+} // namespace
+
+TEST_CASE("with too little room, requests that are worth less go first",
+          "[fairqueue]")
+{
+  struct Row
+  {
+    std::string description_;
+    std::vector<PlannedItem> items_;
+    std::string order_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "priorities",
+      { { "c", 2, 900ms }, { "a", 0, 900ms }, { "b", 1, 900ms } },
+      "a b c " },
+    { "an earlier objective of a lower priority waits",
+      { { "low", 1, 210ms }, { "high", 0, 900ms } },
+      "high low " },
+    { "an objective that is missed anyway comes behind one that can be met",
+      { { "late", 0, 150ms }, { "met", 1, 900ms }, { "low", 2, 900ms } },
+      "met late low " },
+    { "missed ones keep their order",
+      { { "low", 1, 100ms }, { "high", 0, 150ms } },
+      "high low " },
+  }));
+  CAPTURE(row.description_);
+  FairQueue queue;
+  std::list<QueueItem> items;
+  PushAll(queue, items, row.items_);
+  DemoteLate(queue, Instant(200ms));
+  std::string order;
+  const auto any = [](const QueueItem&) { return true; };
+  while (QueueItem* next = FindNext(queue, 10, any)) {
+    order += next->tenant_ + " ";
+    Serve(queue, *next, 1ms);
+  }
+  CHECK(order == row.order_);
+  CHECK(queue.size_ == 0);
+}
+
+TEST_CASE("a burst of a higher priority doesn't starve a lower one",
+          "[fairqueue]")
+{
+  FairQueue queue;
+  std::list<QueueItem> items;
+  for (int i = 0; i < 300; ++i) {
+    PushAll(
+      queue,
+      items,
+      { { "high", 0, 900ms }, { "middle", 1, 900ms }, { "low", 2, 900ms } });
+  }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 200; ++i) {
+    QueueItem* next = FindNext(queue, 1, [](const QueueItem&) { return true; });
+    ++served[next->tenant_];
+    Serve(queue, *next, 1ms);
+  }
+  CHECK(served["high"] >= 150);
+  CHECK(served["middle"] >= 18);
+  CHECK(served["low"] >= 18);
+  for (auto& item : items) {
+    if (item.queueHook_.is_linked()) {
+      Remove(queue, item);
+    }
+  }
+}
+
 TEST_CASE("a tenant is charged for its service time", "[fairqueue]")
 {
   FairQueue queue;
@@ -71,8 +162,8 @@
     items.push_back({ "a", Instant(1s) });
     Push(queue, items.back());
   }
-  CHECK(CountAhead(queue, "a") == 50);
-  CHECK(CountAhead(queue, "b") == 1);
+  CHECK(CountAhead(queue, { "a", Instant(1s) }) == 50);
+  CHECK(CountAhead(queue, { "b", Instant(1s) }) == 1);
   ServiceTime service;
   AddSample(service, 4ms);
   CHECK(PredictWait(service, 50, 2) == foundation::Duration(100ms));
--- a/packages/core/pool/targetpool.cpp
+++ b/packages/core/pool/targetpool.cpp
@@ -28,6 +28,17 @@
   return aState == ConnectionState::Idle ? aPool.idle_ : aPool.others_;
 }
 
+// A connection that has just been opened counts as used once in this time.
+constexpr std::chrono::duration<double> kNewConnectionSeconds{ 1 };
+
+double
+GetUsesPerSecond(const PooledConnection& aConnection, foundation::Instant aNow)
+{
+  const std::chrono::duration<double> age = aNow - aConnection.openedAt_;
+  return static_cast<double>(aConnection.uses_ + 1) /
+         (age + kNewConnectionSeconds).count();
+}
+
 void
 Link(TargetPool& aPool, PooledConnection& aConnection)
 {
@@ -51,6 +62,7 @@
            foundation::Instant aNow)
 {
   aConnection.state_ = ConnectionState::Opening;
+  aConnection.openedAt_ = aNow;
   aConnection.since_ = aNow;
   aConnection.lastReceivedAt_ = aNow;
   Link(aPool, aConnection);
@@ -105,6 +117,62 @@
   return &aPool.idle_.back();
 }
 
+PooledConnection*
+FindIdle(TargetPool& aPool, const foundation::Tenant& aOrganisation)
+{
+  for (PooledConnection& connection : aPool.idle_) {
+    if (connection.organisation_ == aOrganisation) {
+      return &connection;
+    }
+  }
+  return nullptr;
+}
+
+std::uint32_t
+CountSoonIdle(const TargetPool& aPool, const foundation::Tenant& aOrganisation)
+{
+  return static_cast<std::uint32_t>(std::ranges::count_if(
+    aPool.others_, [&](const PooledConnection& aConnection) {
+      return aConnection.state_ != ConnectionState::Pinned &&
+             aConnection.organisation_ == aOrganisation;
+    }));
+}
+
+bool
+HasSlotToOpen(const TargetPool& aPool)
+{
+  const std::uint32_t pinned = aPool.pinnedHoldSlots_ ? aPool.pinned_ : 0;
+  return aPool.busy_ + pinned + aPool.opening_ < aPool.slots_;
+}
+
+bool
+IsShareUsed(const TargetPool& aPool)
+{
+  return CountConnections(aPool) >= aPool.share_;
+}
+
+PooledConnection*
+FindReplaceable(TargetPool& aPool,
+                const std::set<foundation::Tenant>& aNeeded,
+                Replace aReplace,
+                foundation::Instant aNow)
+{
+  const auto mayReplace = [&](const PooledConnection& aConnection) {
+    return !aNeeded.contains(aConnection.organisation_) ||
+           (aReplace == Replace::Used && aConnection.uses_ > 0);
+  };
+  PooledConnection* least = nullptr;
+  double leastRate = 0;
+  for (PooledConnection& connection : aPool.idle_) {
+    const double rate = GetUsesPerSecond(connection, aNow);
+    if (mayReplace(connection) && (least == nullptr || rate <= leastRate)) {
+      least = &connection;
+      leastRate = rate;
+    }
+  }
+  return least;
+}
+
 std::uint32_t
 ComputeSlotShare(std::uint32_t aSlots, std::uint32_t aOwners)
 {
--- a/packages/core/pool/targetpool.h
+++ b/packages/core/pool/targetpool.h
@@ -2,10 +2,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 
 #include <boost/intrusive/list.hpp>
 
 #include "foundation/clock.h"
+#include "foundation/identifiers.h"
 
 namespace wigeonlb::core::pool {
 
@@ -26,6 +28,10 @@
 struct PooledConnection : intrusive::list_base_hook<>
 {
   std::uint64_t id_ = 0;
+  //! Organisation whose statements it carries; empty if it carries everyone's.
+  foundation::Tenant organisation_;
+  foundation::Instant openedAt_;
+  std::uint64_t uses_ = 0; //!< statements that it has carried
   ConnectionState state_ = ConnectionState::Opening;
   //! When the connection entered its state.
   foundation::Instant since_;
@@ -87,6 +93,41 @@
 PooledConnection*
 FindSurplus(TargetPool& aPool);
 
+//! Returns the most recently used idle connection of an organisation, or null.
+PooledConnection*
+FindIdle(TargetPool& aPool, const foundation::Tenant& aOrganisation);
+
+//! Returns how many connections of an organisation will be idle shortly: those
+//! being opened, and those that run a statement.
+std::uint32_t
+CountSoonIdle(const TargetPool& aPool, const foundation::Tenant& aOrganisation);
+
+//! Whether a connection may be opened now although the target is in use:
+//! opening one occupies a slot of the target for some time.
+bool
+HasSlotToOpen(const TargetPool& aPool);
+
+//! Whether the share is used up, so that a connection has to be closed before
+//! another one is opened.
+bool
+IsShareUsed(const TargetPool& aPool);
+
+//! Which idle connections may be closed for another organisation.
+enum class Replace
+{
+  Unneeded, //!< those that no waiting request needs
+  Used,     //!< also needed ones, but not before their first statement
+};
+
+//! Returns the idle connection to close for another organisation: the one with
+//! the fewest statements in its time. Null if there is none. aNeeded are the
+//! organisations of waiting requests.
+PooledConnection*
+FindReplaceable(TargetPool& aPool,
+                const std::set<foundation::Tenant>& aNeeded,
+                Replace aReplace,
+                foundation::Instant aNow);
+
 //! Returns one owner's part of a target's slots, rounded up; at least one.
 std::uint32_t
 ComputeSlotShare(std::uint32_t aSlots, std::uint32_t aOwners);
--- a/packages/core/traffic/actions.h
+++ b/packages/core/traffic/actions.h
@@ -20,6 +20,8 @@
   ConnectionId connection_ = 0;
   TargetName target_;
   std::string address_;
+  //! Organisation that the target is told; empty: the system itself.
+  foundation::Tenant organisation_ = {};
 };
 
 //! Close immediately, even with a statement in flight. No event is expected for
--- a/packages/core/traffic/events.h
+++ b/packages/core/traffic/events.h
@@ -68,6 +68,8 @@
   //! No control leader has been reachable since the host started. Reads are
   //! then served over the connections that an owner may open without a grant.
   bool noLeaderSinceStart_ = false;
+  //! A connection carries the statements of one organisation only.
+  bool byOrganisation_ = false;
 };
 
 //! The grant was issued, renewed or (empty) lost. A renewal of the same term
@@ -110,6 +112,7 @@
   Instant deadline_;
   //! End of the caller's latency objective, if it is before the deadline.
   std::optional<Instant> latencyObjectiveAt_;
+  std::uint32_t priority_ = 0; //!< 0 is the highest
   bool repeatable_ = false;
   foundation::DataCentre dataCentre_;
   //! A write or BEGIN with a request key: the target runs it at most once.
--- a/packages/core/traffic/internal/arrivals.cpp
+++ b/packages/core/traffic/internal/arrivals.cpp
@@ -21,6 +21,8 @@
   request->tenant_ = aEvent.tenant_;
   request->deadline_ = aEvent.deadline_;
   request->latencyObjectiveAt_ = aEvent.latencyObjectiveAt_;
+  request->objectiveAt_ = aEvent.latencyObjectiveAt_.value_or(Instant::max());
+  request->priority_ = aEvent.priority_;
   request->class_ = aEvent.class_;
   request->floor_ = aEvent.floor_;
   // With a staleness bound, a session without a token needs no fresh floor.
--- a/packages/core/traffic/internal/connections.cpp
+++ b/packages/core/traffic/internal/connections.cpp
@@ -1,10 +1,12 @@
 #include "core/traffic/internal/connections.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "core/traffic/internal/answers.h"
 #include "core/traffic/internal/floors.h"
 #include "core/traffic/internal/grants.h"
+#include "core/traffic/internal/organisationconnections.h"
 #include "core/traffic/internal/probes.h"
 #include "core/traffic/internal/sessionterminations.h"
 #include "core/traffic/internal/targets.h"
@@ -15,8 +17,6 @@
 
 constexpr Duration kMinOpenBackoff = 20ms;
 constexpr Duration kMaxOpenBackoff = 1s;
-constexpr std::uint32_t kMaxConcurrentOpens = 8;
-
 using pool::ConnectionState;
 
 // A target that was merely frozen responds on its old connections within this
@@ -91,7 +91,8 @@
 OpenMissing(Context& aContext, Target& aTarget)
 {
   Group& group = aContext.group_;
-  if (!AcceptsWork(aTarget) || aContext.now_ < aTarget.openAt_) {
+  if (group.byOrganisation_ || !AcceptsWork(aTarget) ||
+      aContext.now_ < aTarget.openAt_) {
     return;
   }
   const bool primary = &aTarget == FindPrimary(group);
@@ -101,16 +102,7 @@
     missing += 1;
   }
   while (missing-- > 0 && aTarget.pool_.opening_ < kMaxConcurrentOpens) {
-    auto connection = std::make_unique<Connection>();
-    connection->id_ = group.nextConnection_++;
-    connection->target_ = &aTarget;
-    pool::AddOpening(aTarget.pool_, *connection, aContext.now_);
-    ++aContext.counters_.connectionsOpened_;
-    Emit(aContext,
-         OpenConnection{ connection->id_,
-                         aTarget.state_.target(),
-                         aTarget.state_.address() });
-    group.connections_.emplace(connection->id_, std::move(connection));
+    Open(aContext, aTarget, {});
   }
 }
 
@@ -156,6 +148,56 @@
   return found == aGroup.connections_.end() ? nullptr : found->second.get();
 }
 
+std::size_t
+GetTenantScanLimit(const Group& aGroup)
+{
+  return aGroup.byOrganisation_ ? kScanPerOrganisation
+                                : std::numeric_limits<std::size_t>::max();
+}
+
+void
+Open(Context& aContext,
+     Target& aTarget,
+     const foundation::Tenant& aOrganisation)
+{
+  Group& group = aContext.group_;
+  auto connection = std::make_unique<Connection>();
+  connection->id_ = group.nextConnection_++;
+  connection->organisation_ = aOrganisation;
+  connection->separate_ = group.byOrganisation_;
+  connection->target_ = &aTarget;
+  pool::AddOpening(aTarget.pool_, *connection, aContext.now_);
+  ++aContext.counters_.connectionsOpened_;
+  Emit(aContext,
+       OpenConnection{ connection->id_,
+                       aTarget.state_.target(),
+                       aTarget.state_.address(),
+                       aOrganisation });
+  group.connections_.emplace(connection->id_, std::move(connection));
+}
+
+const foundation::Tenant&
+GetConnectionOrganisation(const Group& aGroup,
+                          const admission::QueueItem& aRequest)
+{
+  static const foundation::Tenant kEveryone;
+  return aGroup.byOrganisation_ ? aRequest.tenant_ : kEveryone;
+}
+
+bool
+HasSlotFor(const Group& aGroup, const Target& aTarget)
+{
+  return aGroup.byOrganisation_ ? pool::HasSlotToOpen(aTarget.pool_)
+                                : pool::HasFreeSlot(aTarget.pool_);
+}
+
+bool
+HasIdleFor(Group& aGroup, Target& aTarget, const admission::QueueItem& aRequest)
+{
+  return pool::FindIdle(aTarget.pool_,
+                        GetConnectionOrganisation(aGroup, aRequest)) != nullptr;
+}
+
 void
 TerminateSessionIfUsed(Connection& aConnection)
 {
@@ -200,8 +242,9 @@
                          aContext.group_.settings_.guards_.closeAfterCancel_;
   const bool surplus =
     pool::CountConnections(target.pool_) > target.pool_.share_;
+  const bool mixed = aConnection.separate_ != aContext.group_.byOrganisation_;
   aConnection.use_ = Use::None;
-  if (cancelled || surplus || !AcceptsWork(target)) {
+  if (cancelled || surplus || mixed || !AcceptsWork(target)) {
     Close(aContext, aConnection);
     return;
   }
@@ -245,6 +288,7 @@
   pool::ChangeState(
     target.pool_, aConnection, ConnectionState::Busy, aContext.now_);
   aConnection.use_ = Use::Statement;
+  ++aConnection.uses_;
   aConnection.session_ = aRequest.id_.session_;
   aConnection.withProbe_ = probe;
   aConnection.probeAnswered_ = false;
@@ -334,6 +378,7 @@
     OpenMissing(aContext, *target);
     CheckLongestIdle(aContext, *target);
   }
+  OpenForOrganisations(aContext);
 }
 
 void
@@ -385,8 +430,10 @@
                       pool.idle_.back().lastReceivedAt_ +
                         aGroup.settings_.idleCheckInterval_);
     }
-    if (pool::CountConnectionsToOpen(pool, 0) > 0 &&
-        pool.opening_ < kMaxConcurrentOpens) {
+    const bool wants = aGroup.byOrganisation_
+                         ? target->openAt_ != Instant()
+                         : pool::CountConnectionsToOpen(pool, 0) > 0;
+    if (wants && pool.opening_ < kMaxConcurrentOpens) {
       next = std::min(next, target->openAt_);
     }
   }
--- a/packages/core/traffic/internal/connections.h
+++ b/packages/core/traffic/internal/connections.h
@@ -4,6 +4,9 @@
 
 namespace wigeonlb::core::traffic::internal {
 
+//! Connections to one target that may be in the course of being opened.
+constexpr std::uint32_t kMaxConcurrentOpens = 8;
+
 //! The connection with this id; null when it is closed.
 Connection*
 FindConnection(Group& aGroup, ConnectionId aId);
@@ -13,6 +16,38 @@
 void
 TerminateSessionIfUsed(Connection& aConnection);
 
+//! Largest number of queued requests of one organisation that are examined in
+//! one step while each connection belongs to one organisation: without an idle
+//! connection none of its requests can be sent.
+constexpr std::size_t kScanPerOrganisation = 2;
+
+//! How many queued requests of one tenant are examined in one step.
+std::size_t
+GetTenantScanLimit(const Group& aGroup);
+
+//! Opens a connection for the statements of an organisation; empty: of all.
+void
+Open(Context& aContext,
+     Target& aTarget,
+     const foundation::Tenant& aOrganisation);
+
+//! The organisation whose connections may carry the request; empty if every
+//! connection may.
+const foundation::Tenant&
+GetConnectionOrganisation(const Group& aGroup,
+                          const admission::QueueItem& aRequest);
+
+//! Whether a statement may be sent to the target now. A connection that is
+//! opened for a queued request occupies a slot.
+bool
+HasSlotFor(const Group& aGroup, const Target& aTarget);
+
+//! Whether the target has an idle connection that may carry the request.
+bool
+HasIdleFor(Group& aGroup,
+           Target& aTarget,
+           const admission::QueueItem& aRequest);
+
 //! Closes and removes a connection. The request and transaction that it carried
 //! must have been finished before.
 void
--- a/packages/core/traffic/internal/dispatch.cpp
+++ b/packages/core/traffic/internal/dispatch.cpp
@@ -5,6 +5,7 @@
 #include "core/traffic/internal/acknowledgement.h"
 #include "core/traffic/internal/connections.h"
 #include "core/traffic/internal/grants.h"
+#include "core/traffic/internal/organisationconnections.h"
 #include "core/traffic/internal/outcomes.h"
 #include "core/traffic/internal/reads.h"
 #include "core/traffic/internal/targets.h"
@@ -77,7 +78,7 @@
 MayRunNow(const Group& aGroup, const Target& aTarget)
 {
   const bool slot =
-    pool::HasFreeSlot(aTarget.pool_) || !aGroup.settings_.guards_.slotLimit_;
+    HasSlotFor(aGroup, aTarget) || !aGroup.settings_.guards_.slotLimit_;
   return slot && !aTarget.pool_.idle_.empty();
 }
 
@@ -91,8 +92,9 @@
 void
 SendOnIdleConnection(Context& aContext, Target& aTarget, Request& aRequest)
 {
-  auto& connection = static_cast<Connection&>(aTarget.pool_.idle_.front());
-  SendToTarget(aContext, connection, aRequest);
+  auto* const connection = pool::FindIdle(
+    aTarget.pool_, GetConnectionOrganisation(aContext.group_, aRequest));
+  SendToTarget(aContext, static_cast<Connection&>(*connection), aRequest);
 }
 
 // Statements of an open transaction never wait for a slot: the transaction
@@ -133,12 +135,18 @@
   if (primary == nullptr || !granted) {
     return;
   }
+  admission::DemoteLate(group.primaryQueue_,
+                        aContext.now_ + group.primaryService_.mean_);
   while (MayRunNow(group, *primary)) {
     auto* item = admission::FindNext(
-      group.primaryQueue_, kScanLimit, [&](const admission::QueueItem& aItem) {
+      group.primaryQueue_,
+      kScanLimit,
+      [&](const admission::QueueItem& aItem) {
         const auto& request = static_cast<const Request&>(aItem);
-        return !BeginsTransaction(request) || MayPin(*primary);
-      });
+        return (!BeginsTransaction(request) || MayPin(*primary)) &&
+               HasIdleFor(group, *primary, request);
+      },
+      GetTenantScanLimit(group));
     if (item == nullptr) {
       return;
     }
@@ -170,13 +178,18 @@
 DispatchReads(Context& aContext)
 {
   Group& group = aContext.group_;
+  admission::DemoteLate(group.readQueue_,
+                        aContext.now_ + group.readService_.mean_);
   for (std::size_t i = 0; i < kScanLimit; ++i) {
     ReadDecision decision;
     auto* item = admission::FindNext(
-      group.readQueue_, kScanLimit, [&](const admission::QueueItem& aItem) {
+      group.readQueue_,
+      kScanLimit,
+      [&](const admission::QueueItem& aItem) {
         decision = DecideRead(aContext, static_cast<const Request&>(aItem));
         return decision.kind_ != ReadDecision::Kind::Queue;
-      });
+      },
+      GetTenantScanLimit(group));
     if (item == nullptr) {
       return;
     }
@@ -268,7 +281,7 @@
   }
   const Duration wait = admission::PredictWaitWithMargin(
     group.primaryService_,
-    admission::CountAhead(group.primaryQueue_, aRequest.tenant_),
+    admission::CountAhead(group.primaryQueue_, aRequest),
     primary->pool_.slots_);
   if (!RejectIfLate(aContext, aRequest, wait)) {
     Enqueue(aRequest, group.primaryQueue_);
@@ -291,6 +304,7 @@
 {
   RerouteWaitingReads(aContext);
   DispatchTransactions(aContext);
+  OpenForOverdue(aContext);
   DispatchPrimary(aContext);
   DispatchReads(aContext);
 }
--- a/packages/core/traffic/internal/group.h
+++ b/packages/core/traffic/internal/group.h
@@ -157,6 +157,8 @@
 struct Connection : pool::PooledConnection
 {
   Target* target_ = nullptr;
+  //! Whether it was opened for one organisation, see Group::byOrganisation_.
+  bool separate_ = false;
   BackendId backend_ = 0;
   Use use_ = Use::None;
   //! Session whose statement or transaction it carries; 0 for none.
@@ -223,6 +225,7 @@
   Instant suspectCutoff_;
   Instant suspectedAt_;
   Duration openBackoff_{ 0 };
+  //! After a failure, when the next connection may be opened.
   Instant openAt_;
 };
 
@@ -239,6 +242,8 @@
   Settings settings_;
   wire::GroupState state_;
   std::uint32_t owners_ = 1;
+  //! A connection carries the statements of one organisation only.
+  bool byOrganisation_ = false;
   //! NOTE These containers own the objects that the queues and lists below link
   //! to. They must be declared before them, so that they are destroyed last.
   std::unordered_map<ConnectionId, std::unique_ptr<Connection>> connections_;
--- a/packages/core/traffic/internal/reads.cpp
+++ b/packages/core/traffic/internal/reads.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/traffic/internal/connections.h"
 #include "core/traffic/internal/grants.h"
 #include "core/traffic/internal/targets.h"
 
@@ -49,12 +50,11 @@
            .empty()) {
       continue;
     }
-    const auto& pool = target->pool_;
-    const bool slot =
-      pool::HasFreeSlot(pool) || !aContext.group_.settings_.guards_.slotLimit_;
+    const bool slot = HasSlotFor(aContext.group_, *target) ||
+                      !aContext.group_.settings_.guards_.slotLimit_;
     const bool mayPin =
       aRequest.class_ != wire::STATEMENT_BEGIN_READ || MayPin(*target);
-    if (slot && mayPin && !pool.idle_.empty()) {
+    if (slot && mayPin && HasIdleFor(aContext.group_, *target, aRequest)) {
       eligible.free_.push_back(target.get());
     } else {
       ++eligible.busy_;
@@ -106,13 +106,13 @@
 QueueOrUsePrimary(const Context& aContext, const Request& aRequest)
 {
   Group& group = aContext.group_;
-  const Target* primary = FindPrimary(group);
+  Target* primary = FindPrimary(group);
   const bool atRisk = aContext.now_ > GetPrimaryFallbackTime(aRequest) &&
                       !IsReadLate(aContext, aRequest, Duration::zero());
   const bool idle =
     primary != nullptr && AcceptsWork(*primary) &&
     MayUsePrimary(group, aContext.now_) && group.primaryQueue_.size_ == 0 &&
-    pool::HasFreeSlot(primary->pool_) && !primary->pool_.idle_.empty();
+    pool::HasFreeSlot(primary->pool_) && HasIdleFor(group, *primary, aRequest);
   return MakeDecision(atRisk && idle ? Kind::Primary : Kind::Queue);
 }
 
@@ -270,7 +270,7 @@
   }
   const Duration wait = admission::PredictWaitWithMargin(
     group.readService_,
-    admission::CountAhead(group.readQueue_, aRequest.tenant_),
+    admission::CountAhead(group.readQueue_, aRequest),
     slots);
   return IsReadLate(aContext, aRequest, wait);
 }
--- a/packages/core/traffic/internal/targets.cpp
+++ b/packages/core/traffic/internal/targets.cpp
@@ -95,6 +95,23 @@
   entry->usable_ = aUsable;
 }
 
+// Connections that were opened under the other rule must not be used: close the
+// idle ones. Those in use are closed when they become idle, see ReturnToPool.
+void
+SeparateOrganisations(Context& aContext, bool aSeparate)
+{
+  Group& group = aContext.group_;
+  if (group.byOrganisation_ == aSeparate) {
+    return;
+  }
+  group.byOrganisation_ = aSeparate;
+  for (auto& [name, target] : group.targets_) {
+    while (!target->pool_.idle_.empty()) {
+      Close(aContext, static_cast<Connection&>(target->pool_.idle_.front()));
+    }
+  }
+}
+
 void
 ApplyOptions(Settings& aSettings, const wire::GroupState& aGroup)
 {
@@ -283,6 +300,7 @@
   Group& group = aContext.group_;
   group.state_ = aEvent.group_;
   group.owners_ = aEvent.owners_;
+  SeparateOrganisations(aContext, aEvent.byOrganisation_);
   ApplyOptions(group.settings_, aEvent.group_);
   ++group.version_;
   std::vector<TargetName> removed;
--- a/packages/core/traffic/tests/fakedriver.cpp
+++ b/packages/core/traffic/tests/fakedriver.cpp
@@ -61,6 +61,8 @@
 {
   FakeTarget& target = *Find(aAction.target_);
   links_[aAction.connection_].target_ = &target;
+  links_[aAction.connection_].organisation_ = aAction.organisation_;
+  ++opened_;
   const std::uint32_t share =
     now_ < grantEnds_ ? share_ : settings_.shareWithoutGrant_;
   if (++target.connections_ > share) {
@@ -133,6 +135,9 @@
     AddViolation("more statements than slots at " + link.target_->name_);
   }
   const SentRequest& sentRequest = requests_.at(aAction.request_);
+  if (byOrganisation_ && link.organisation_ != sentRequest.spec_.tenant_) {
+    AddViolation("a statement on a connection of another organisation");
+  }
   const int times = ++timesSent_[aAction.request_];
   const bool unsafe = !sentRequest.spec_.repeatable_ &&
                       !sentRequest.spec_.writes_ &&
--- a/packages/core/traffic/tests/fakegroup.cpp
+++ b/packages/core/traffic/tests/fakegroup.cpp
@@ -88,6 +88,7 @@
 {
   GroupChanged event;
   event.noLeaderSinceStart_ = noLeaderSinceStart_;
+  event.byOrganisation_ = byOrganisation_;
   event.group_.set_group("group");
   for (const auto& [key, value] : options_) {
     (*event.group_.mutable_options())[key] = value;
--- a/packages/core/traffic/tests/fakegroup.h
+++ b/packages/core/traffic/tests/fakegroup.h
@@ -158,6 +158,8 @@
   std::mt19937 random_;
   Duration openCost_ = 10ms;
   bool noLeaderSinceStart_ = false; //!< sent with the next Announce
+  bool byOrganisation_ = false;     //!< sent with the next Announce
+  std::size_t opened_ = 0;          //!< connections
   //! Target of each accepted read.
   std::map<RequestId, TargetName> readAt_;
   std::uint64_t ticks_ = 0;
@@ -182,6 +184,7 @@
   struct Link
   {
     FakeTarget* target_ = nullptr;
+    foundation::Tenant organisation_;
     bool open_ = false;
     bool unresponsive_ = false;
     bool busy_ = false;
