--- a/apps/wigeonlbd/control/controlmessages.cpp
+++ b/apps/wigeonlbd/control/controlmessages.cpp
@@ -17,9 +17,7 @@
   }
   aMessage.set_from(settings_.hostId_);
   aMessage.set_boot(boot_);
-  boost::asio::post(context_, [this, message = std::move(aMessage)]() mutable {
-    OnControlMessage(message);
-  });
+  OnPeerMessage(std::move(aMessage));
 }
 
 bool
@@ -43,6 +41,29 @@
   return links_->Send(aHost, std::move(aMessage));
 }
 
+void
+ControlRuntime::PostTokenRequest(wire::QuotaRequest aRequest)
+{
+  boost::asio::post(context_, [this, request = std::move(aRequest)]() mutable {
+    if (quotaLeader_.empty()) {
+      return;
+    }
+    wire::PeerMessage message;
+    *message.mutable_quota_request() = std::move(request);
+    SendControl(quotaLeader_, std::move(message));
+  });
+}
+
+void
+ControlRuntime::PostLeaderHint(const foundation::HostId& aLeader)
+{
+  boost::asio::post(context_, [this, aLeader] {
+    if (!aLeader.empty()) {
+      quotaLeader_ = aLeader;
+    }
+  });
+}
+
 void
 ControlRuntime::OnPeerMessage(wire::PeerMessage aMessage)
 {
@@ -59,6 +80,12 @@
     case Body::kForwardChecked:
       traffic_.OnPeerMessage(std::move(aMessage));
       return;
+    case Body::kQuotaReply:
+      if (!aMessage.quota_reply().leader()) {
+        PostLeaderHint(aMessage.quota_reply().leader_hint());
+      }
+      traffic_.OnPeerMessage(std::move(aMessage));
+      return;
     default:
       boost::asio::post(context_,
                         [this, message = std::move(aMessage)]() mutable {
@@ -100,10 +127,16 @@
         reply.leader() ? reply.from() : reply.leader_hint();
       if (!leader.empty()) {
         submitter_->SetLeaderHint(leader);
+        quotaLeader_ = leader;
       }
       agent_->OnReply(reply);
       return;
     }
+    case Body::kQuotaRequest:
+      if (quota_ != nullptr) {
+        quota_->OnRequest(aMessage.from(), aMessage.quota_request());
+      }
+      return;
     case Body::kRevoke:
       agent_->OnRevoke(aMessage.revoke());
       return;
--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -214,6 +214,8 @@
   };
   leader_ = std::make_unique<LeaderDriver>(
     context_, settings_.hostId_, login, targets_, promote_, *member_, *this);
+  quota_ = std::make_unique<QuotaService>(
+    settings_.quotaTolerance_, *member_, *leader_, *this);
   if (!settings_.controlSeeds_.empty()) {
     leader_->SetWantedVoters(GetWantedVoterCount());
   }
@@ -242,6 +244,7 @@
     foundation::LogWarning(
       "control", "member-not-started", { { "reason", memberFailure_ } });
     aFindings.clear();
+    quota_.reset();
     member_.reset();
     leader_.reset();
     return {};
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -15,6 +15,7 @@
 #include "control/leaderdriver.h"
 #include "control/lostpeers.h"
 #include "control/memberreport.h"
+#include "control/quotaservice.h"
 #include "core/membership/balancermonitor.h"
 #include "core/membership/isolation.h"
 #include "peer/peerlinks.h"
@@ -60,6 +61,10 @@
   //! called on the control thread when the release is queued to be sent.
   void PostReleaseAll(std::function<void()> aDone);
 
+  //! Sends an owner's request for tokens to the control leader. Callable from
+  //! any thread.
+  void PostTokenRequest(wire::QuotaRequest aRequest);
+
   boost::asio::io_context& Context() { return context_; }
   //! Identifies this start of the host.
   std::uint64_t Boot() const { return boot_; }
@@ -109,6 +114,7 @@
   void LogMemberStarted() const;
   void OnPeerMessage(wire::PeerMessage aMessage);
   void OnControlMessage(wire::PeerMessage& aMessage);
+  void PostLeaderHint(const foundation::HostId& aLeader);
   //! Thread function: handles events, and ticks when something is due.
   void Run();
   foundation::Instant NextDue() const;
@@ -163,6 +169,9 @@
   std::unique_ptr<peer::PeerLinks> links_;
   std::unique_ptr<ConsensusMember> member_;
   std::unique_ptr<LeaderDriver> leader_;
+  std::unique_ptr<QuotaService> quota_; //!< null on a host without a member
+  //! Receives requests for tokens: the leader that was heard of last.
+  foundation::HostId quotaLeader_;
   std::unique_ptr<ChangeSubmitter> submitter_;
   std::unique_ptr<HostAgent> agent_;
   OperatorMessageHandler onOperatorMessage_;
--- a/apps/wigeonlbd/control/hostroutes.cpp
+++ b/apps/wigeonlbd/control/hostroutes.cpp
@@ -9,6 +9,48 @@
 namespace configuration = core::configuration;
 namespace grants = core::grants;
 
+namespace {
+
+//! An organisation is large if its part of the sum of all rate limits is at
+//! least this divided by a typical number of owners of a group: one owner alone
+//! would be short of slots for it.
+constexpr double kLargeShare = 0.25;
+constexpr double kTypicalOwners = 3;
+
+bool
+IsLarge(const wire::OrganisationState& aOrganisation, double aSumOfRates)
+{
+  // Without a limit it may send any part of all requests.
+  return !aOrganisation.has_rate_per_s() ||
+         aOrganisation.rate_per_s() * kTypicalOwners >=
+           aSumOfRates * kLargeShare;
+}
+
+std::shared_ptr<const traffic::OrganisationTable>
+MakeOrganisationTable(const wire::ControlState& aState)
+{
+  double sumOfRates = 0;
+  for (const auto& [name, organisation] : aState.organisations()) {
+    sumOfRates += organisation.rate_per_s();
+  }
+  auto table = std::make_shared<traffic::OrganisationTable>();
+  for (const auto& [name, organisation] : aState.organisations()) {
+    table->names_.insert(name);
+    for (const std::string& digest : organisation.key_digests()) {
+      table->byKeyDigest_.emplace(digest, name);
+    }
+    if (IsLarge(organisation, sumOfRates)) {
+      table->large_.insert(name);
+    }
+    if (!organisation.has_rate_per_s()) {
+      table->unlimited_.insert(name);
+    }
+  }
+  return table;
+}
+
+} // namespace
+
 void
 HostAgent::ApplyUnusable(const wire::HeartbeatReply& aReply)
 {
@@ -78,6 +120,7 @@
     foundation::Duration(aDatabase.statement_timeout_us());
   route.latencyObjective_ = foundation::Duration(aDatabase.aim_us());
   route.priority_ = aDatabase.priority();
+  route.open_ = aDatabase.open();
   return route;
 }
 
@@ -102,6 +145,9 @@
   for (const auto& [name, database] : View().state_.databases()) {
     table->databases_.emplace(name, MakeRoute(database));
   }
+  if (View().state_.identifies_organisations()) {
+    table->organisations_ = MakeOrganisationTable(View().state_);
+  }
   for (auto name = owned_.begin(); name != owned_.end();) {
     if (View().state_.groups().count(*name) == 0) {
       traffic_.DropGroup(*name);
@@ -131,9 +177,11 @@
   event.group_ = aGroup;
   event.owners_ = static_cast<std::uint32_t>(owners.size());
   event.noLeaderSinceStart_ = HasNoLeaderSinceStart();
+  event.byOrganisation_ = View().state_.identifies_organisations();
   std::string fingerprint = std::to_string(aGroup.revision()) + " " +
                             std::to_string(event.owners_) +
-                            (HasNoLeaderSinceStart() ? " no-leader" : "");
+                            (HasNoLeaderSinceStart() ? " no-leader" : "") +
+                            (event.byOrganisation_ ? " by-organisation" : "");
   for (const wire::TargetState& target : aGroup.targets()) {
     if (IsUsable(aGroup, target)) {
       event.usable_.push_back(target.target());
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -60,6 +60,9 @@
   callbacks.onReports_ = [this](std::vector<wire::TargetReport> aReports) {
     control_->PostReports(std::move(aReports));
   };
+  callbacks.requestTokens_ = [this](wire::QuotaRequest aRequest) {
+    control_->PostTokenRequest(std::move(aRequest));
+  };
   callbacks.onConnections_ = [this](const foundation::GroupName& aGroup,
                                     std::uint32_t aConnections) {
     control_->PostConnections(aGroup, aConnections);
--- a/apps/wigeonlbd/settings/daemonsettings.cpp
+++ b/apps/wigeonlbd/settings/daemonsettings.cpp
@@ -2,9 +2,9 @@
 
 #include "foundation/parsenumber.h"
 #include "settings/addresses.h"
+#include "settings/decimalsettings.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 
 #include <boost/asio/ip/address.hpp>
@@ -157,40 +157,6 @@
   aSettings.*Member = aText == "on";
 }
 
-//! Part of the grace period that is reserved for the shutdown steps after the
-//! drain.
-constexpr foundation::Duration kStopMarginMs = std::chrono::milliseconds(500);
-
-//! Sets the drain deadline to the grace period less kStopMarginMs. Overrides
-//! `drain-deadline-ms`, which is read earlier.
-void
-ReadGrace(std::string_view aText,
-          std::string_view aLocation,
-          DaemonSettings& aSettings,
-          Findings& aFindings)
-{
-  if (aText.empty()) {
-    return;
-  }
-  constexpr double kMaxGraceSeconds = 3600;
-  double seconds = 0;
-  const char* const end = aText.data() + aText.size();
-  const auto result = std::from_chars(aText.data(), end, seconds);
-  if (result.ec != std::errc() || result.ptr != end ||
-      !(seconds > 0 && seconds <= kMaxGraceSeconds)) { // also not a number
-    AddFinding(aFindings,
-               std::string(aLocation),
-               "expected seconds above 0 and up to 3600, not '" +
-                 std::string(aText) + "'");
-    return;
-  }
-  const auto grace = std::chrono::duration_cast<foundation::Duration>(
-    std::chrono::duration<double>(seconds));
-  aSettings.drainDeadline_ =
-    std::max(grace - kStopMarginMs, foundation::Duration::zero());
-  aSettings.transactionDrain_ = grace / 2;
-}
-
 void
 ReadFolder(std::string_view aText,
            std::string_view /*aLocation*/,
@@ -398,6 +364,24 @@
     "maximum rate of log lines about failed requests, with bursts of four "
     "seconds' worth; suppressed lines are counted; 0: no limit",
     ReadCount<&S::logRequestsPerSecond_, 0, 100'000> },
+  { "quota-window-s",
+    "WIGEONLB_QUOTA_WINDOW_S",
+    "5",
+    "s",
+    "window over which organisations' rate limits are judged",
+    ReadQuotaWindow },
+  { "quota-overage",
+    "WIGEONLB_QUOTA_OVERAGE",
+    "0.1",
+    "",
+    "fraction by which a window may exceed a rate limit",
+    ReadQuotaOverage },
+  { "quota-slack",
+    "WIGEONLB_QUOTA_SLACK",
+    "20",
+    "operations",
+    "operations by which a window may exceed a rate limit besides",
+    ReadQuotaSlack },
   { "promotion-address",
     "WIGEONLB_PROMOTION_ADDRESS",
     "",
--- a/apps/wigeonlbd/settings/daemonsettings.h
+++ b/apps/wigeonlbd/settings/daemonsettings.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "core/quota/allocator.h"
 #include "foundation/clock.h"
 #include "foundation/findings.h"
 #include "foundation/identifiers.h"
@@ -72,6 +73,8 @@
   std::string promotionAddress_;
   std::string promotionHolder_; //!< name of this host in promotion requests
   foundation::Duration heartbeatInterval_{ 0 };
+  //! By how much organisations may exceed their rate limits.
+  core::quota::Tolerance quotaTolerance_;
   std::string logLevel_;
   std::string traceFile_;      //!< empty: no trace is recorded
   std::size_t traceLimit_ = 0; //!< maximum size of the trace file in bytes
--- a/apps/wigeonlbd/tests/shardfixture.cpp
+++ b/apps/wigeonlbd/tests/shardfixture.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include "foundation/keydigest.h"
+
 namespace wigeonlb::daemon::traffic {
 
 namespace {
@@ -58,6 +60,22 @@
   REQUIRE_FALSE(server_->Listen());
 }
 
+void
+ShardFixture::SetOrganisations(
+  const std::map<std::string, foundation::Tenant>& aOrganisations)
+{
+  auto routes = std::make_shared<RoutingTable>();
+  routes->groups_["g"].owners_ = { "h1", "h2" };
+  routes->databases_["g"].group_ = "g";
+  auto organisations = std::make_shared<OrganisationTable>();
+  for (const auto& [key, organisation] : aOrganisations) {
+    organisations->byKeyDigest_[foundation::DigestKey(key)] = organisation;
+    organisations->large_.insert(organisation);
+  }
+  routes->organisations_ = std::move(organisations);
+  shard_->SetRoutes(std::move(routes));
+}
+
 ShardFixture::~ShardFixture()
 {
   server_->CloseAll();
@@ -71,9 +89,9 @@
   client_.connect(
     { boost::asio::ip::make_address("127.0.0.1"), server_->Port() });
   client_.non_blocking(true);
-  boost::asio::write(
-    client_,
-    boost::asio::buffer(Frame("", "\0\3\0\0user\0u\0database\0g\0\0"s)));
+  boost::asio::write(client_,
+                     boost::asio::buffer(Frame(
+                       "", "\0\3\0\0user\0"s + user_ + "\0database\0g\0\0"s)));
   ReadUntil(Frame("Z", "I"));
 }
 
--- a/apps/wigeonlbd/tests/shardfixture.h
+++ b/apps/wigeonlbd/tests/shardfixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -76,7 +77,13 @@
   wire::ForwardEnd MakeEnd(const wire::ForwardRequest& aRequest,
                            wire::Outcome aOutcome) const;
 
+  //! Publishes routes with organisations, by the key of each.
+  void SetOrganisations(
+    const std::map<std::string, foundation::Tenant>& aOrganisations);
+
   std::uint64_t ownerBoot_ = 0; //!< of the owner that answers
+  std::string user_ = "u";      //!< that the caller connects as
+  foundation::MetricsRegistry registry_;
   boost::asio::io_context context_;
   RecordingPort port_;
   std::unique_ptr<TrafficShard> shard_;
@@ -88,7 +95,6 @@
 private:
   void ReadAvailable();
 
-  foundation::MetricsRegistry registry_;
   TrafficMetrics metrics_;
   MockOwnerListener listener_;
   std::unique_ptr<caller::CallerServer> server_;
--- a/apps/wigeonlbd/traffic/entryoutcome.cpp
+++ b/apps/wigeonlbd/traffic/entryoutcome.cpp
@@ -149,6 +149,12 @@
     return { sqlstates::kUnknownGroup,
              "there is no database group '" + database_ + "'" };
   }
+  return MakeOutdatedError(aVerdict);
+}
+
+EntrySession::LocalError
+EntrySession::MakeOutdatedError(NameVerdict aVerdict) const
+{
   return { sqlstates::kNotRun,
            aVerdict == NameVerdict::NoConfiguration
              ? "this host knows no configuration yet"
@@ -157,6 +163,26 @@
            FormatRetryDelay(kNoRouteRetryDelayMs) };
 }
 
+std::optional<EntrySession::LocalError>
+EntrySession::IdentifyCaller()
+{
+  if (context_.routes_->organisations_ == nullptr) {
+    return std::nullopt;
+  }
+  KeyVerdict key = JudgeKey(context_.routes_, keyDigest_, SteadyNow());
+  tenant_ = std::move(key.organisation_);
+  const DatabaseRoute* const database = FindDatabase();
+  const bool isOpen = database != nullptr && database->open_;
+  if (key.verdict_ == NameVerdict::Known || isOpen) {
+    return std::nullopt;
+  }
+  if (key.verdict_ == NameVerdict::Unknown) {
+    return LocalError{ sqlstates::kInvalidAuthorization,
+                       "the caller's key belongs to no organisation" };
+  }
+  return MakeOutdatedError(key.verdict_);
+}
+
 void
 EntrySession::LogRefusal(const LocalError& aError, foundation::Instant aNow)
 {
--- a/apps/wigeonlbd/traffic/entryrequest.cpp
+++ b/apps/wigeonlbd/traffic/entryrequest.cpp
@@ -121,6 +121,7 @@
   if (database != nullptr && !InTransaction()) {
     request_.set_aim_us(
       static_cast<std::uint64_t>(database->latencyObjective_.count()));
+    request_.set_priority(database->priority_);
   }
   const wire::ReadPolicy policy =
     database == nullptr ? wire::READ_SESSION : database->readPolicy_;
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -4,6 +4,7 @@
 
 #include "caller/sqlstates.h"
 #include "core/session/sessiontoken.h"
+#include "foundation/keydigest.h"
 
 namespace wigeonlb::daemon::traffic {
 
@@ -22,6 +23,19 @@
 
 constexpr std::string_view kServerVersion = "15.0 (wigeonlb)";
 
+//! A name in place of a secret one.
+std::string
+FormatDigest(std::string_view aDigest)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const unsigned char byte : aDigest) {
+    text += kDigits[byte >> 4U];
+    text += kDigits[byte & 15U];
+  }
+  return text;
+}
+
 } // namespace
 
 EntrySession::EntrySession(EntryContext& aContext,
@@ -41,20 +55,28 @@
                     const caller::CancelKey& aKey)
 {
   key_ = aKey;
-  tenant_ = aRequest.user_;
+  keyDigest_ = foundation::DigestKey(aRequest.user_);
   database_ = aRequest.database_;
   if (const DatabaseRoute* const database = FindDatabase()) {
     group_ = database->group_;
   }
   const foundation::Instant now = SteadyNow();
   const NameVerdict verdict = JudgeName(context_.routes_, database_, now);
+  std::optional<LocalError> refusal;
   if (verdict != NameVerdict::Known) {
-    const LocalError error = MakeNameError(verdict);
-    LogRefusal(error, now);
+    refusal = MakeNameError(verdict);
+  } else if (context_.routes_->organisations_ != nullptr) {
+    refusal = IdentifyCaller();
+  } else {
+    tenant_ = context_.protocol_->userIsSecret_ ? FormatDigest(keyDigest_)
+                                                : aRequest.user_;
+  }
+  if (refusal) {
+    LogRefusal(*refusal, now);
     caller_->Refuse({ "FATAL",
-                      std::string(error.sqlstate_),
-                      error.message_,
-                      error.detail_,
+                      std::string(refusal->sqlstate_),
+                      refusal->message_,
+                      refusal->detail_,
                       verdict == NameVerdict::Unknown
                         ? "`show groups` lists the groups"
                         : "" });
@@ -147,6 +169,13 @@
     return;
   }
   if (!InTransaction()) {
+    // The key may have been withdrawn, or have another holder, since the last
+    // operation.
+    if (const auto error = IdentifyCaller()) {
+      LogRefusal(*error, SteadyNow());
+      FailLocally(*error);
+      return;
+    }
     group_ = FindDatabase()->group_;
   }
   const std::uint64_t lastNumber = request_.request();
@@ -200,8 +229,12 @@
     return;
   }
   const GroupRoute* const route = Route();
-  while (route != nullptr && nextOwner_ < route->owners_.size()) {
-    if (TryOwner(route->owners_[nextOwner_++])) {
+  const auto owners =
+    route == nullptr
+      ? std::vector<foundation::HostId>()
+      : ListOwnersFor(*context_.routes_, group_, *route, tenant_);
+  while (nextOwner_ < owners.size()) {
+    if (TryOwner(owners[nextOwner_++])) {
       return;
     }
   }
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -152,8 +152,13 @@
   void Record(const RequestResult& aResult);
   //! Logs a decision about the current request.
   void Log(RequestEvent aEvent, const RequestResult& aResult);
+  //! Sets the organisation of the caller by its key, if there are
+  //! organisations. Returns the error if it can't be identified, but has to be.
+  std::optional<LocalError> IdentifyCaller();
   //! The error for a name that has no route at present.
   LocalError MakeNameError(NameVerdict aVerdict) const;
+  //! The error for a verdict that the configuration in force can't answer.
+  LocalError MakeOutdatedError(NameVerdict aVerdict) const;
   //! Logs a refusal of the session's name with the configuration by which it
   //! was decided.
   void LogRefusal(const LocalError& aError, foundation::Instant aNow);
@@ -166,6 +171,9 @@
   //! Group of the open transaction, else of the current or last statement.
   foundation::GroupName group_;
   foundation::Tenant tenant_;
+  //! Digest of the key that the caller has sent, which may be just a user name.
+  //! The key itself is not kept.
+  std::string keyDigest_;
   SessionSettings settings_;
   std::map<std::string, std::string> values_; //!< set by the caller
   std::map<std::string, core::classification::Prepare, std::less<>> prepared_;
--- a/apps/wigeonlbd/traffic/ownedsessions.cpp
+++ b/apps/wigeonlbd/traffic/ownedsessions.cpp
@@ -173,6 +173,7 @@
   if (request.aim_us() != 0 && request.aim_us() < request.deadline_us()) {
     arrived.latencyObjectiveAt_ = aNow + foundation::Duration(request.aim_us());
   }
+  arrived.priority_ = request.priority();
   arrived.repeatable_ = request.repeatable();
   arrived.inTransaction_ = request.in_transaction();
   if (request.has_transaction()) {
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -324,8 +324,10 @@
 {
   ConnectionPointer connection =
     MakeConnection(aAction.connection_, aAction.target_);
-  connection->Open(BuildAddress(aAction.target_, aAction.address_),
-                   kOpenTimeoutMs);
+  target::TargetAddress address =
+    BuildAddress(aAction.target_, aAction.address_);
+  address.organisation_ = aAction.organisation_;
+  connection->Open(address, kOpenTimeoutMs);
   connections_.emplace(aAction.connection_, std::move(connection));
 }
 
--- a/apps/wigeonlbd/traffic/routingtable.h
+++ b/apps/wigeonlbd/traffic/routingtable.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,19 @@
   //! Latency objective of a whole operation; zero: none.
   foundation::Duration latencyObjective_{ 0 };
   std::uint32_t priority_ = 0; //!< 0 is the highest
+  bool open_ = false;          //!< its callers need no key
+};
+
+//! The organisations and the keys by which their callers identify themselves.
+struct OrganisationTable
+{
+  //! Names by the digest of each key.
+  std::map<std::string, foundation::Tenant, std::less<>> byKeyDigest_;
+  std::set<foundation::Tenant> names_;
+  //! Those with so large a part of all rate limits that each owner of a group
+  //! serves them. Others prefer one owner, see ListOwnersFor.
+  std::set<foundation::Tenant> large_;
+  std::set<foundation::Tenant> unlimited_; //!< without a rate limit
 };
 
 //! The newest confirmation that covers one routing table; it is renewed while
@@ -78,6 +92,8 @@
   std::shared_ptr<const TableConfirmation> confirmation_;
   std::map<foundation::GroupName, GroupRoute, std::less<>> groups_;
   std::map<std::string, DatabaseRoute, std::less<>> databases_;
+  //! Null if callers identify themselves by no key.
+  std::shared_ptr<const OrganisationTable> organisations_;
 };
 
 using RoutingTablePointer = std::shared_ptr<const RoutingTable>;
@@ -95,6 +111,35 @@
   Unknown,         //!< no such name in the whole system
 };
 
+//! The organisation that a key belongs to.
+struct KeyVerdict
+{
+  NameVerdict verdict_ = NameVerdict::NoConfiguration;
+  foundation::Tenant organisation_; //!< if Known
+};
+
+//! Decides about the key of a caller by its digest, if there are organisations
+//! or no table.
+KeyVerdict
+JudgeKey(const RoutingTablePointer& aTable,
+         std::string_view aKeyDigest,
+         foundation::Instant aNow);
+
+//! Whether a target may be told this name as the organisation of a request.
+//! Entry hosts that know of no organisations yet send other names.
+bool
+MayName(const RoutingTablePointer& aTable,
+        const foundation::Tenant& aOrganisation);
+
+//! The owners of a group in the order in which to try them for an organisation.
+//! A small organisation has an order of its own, the same at every entry host:
+//! each owner then keeps connections for fewer organisations.
+std::vector<foundation::HostId>
+ListOwnersFor(const RoutingTable& aTable,
+              const foundation::GroupName& aGroup,
+              const GroupRoute& aRoute,
+              const foundation::Tenant& aOrganisation);
+
 //! Decides about a name that a caller has just sent. aTable may be null.
 NameVerdict
 JudgeName(const RoutingTablePointer& aTable,
--- a/apps/wigeonlbd/traffic/trafficmetrics.cpp
+++ b/apps/wigeonlbd/traffic/trafficmetrics.cpp
@@ -56,4 +56,14 @@
     .Add(1);
 }
 
+void
+TrafficMetrics::RecordQuotaDecision(std::string_view aOrganisation,
+                                    std::string_view aDecision)
+{
+  registry_
+    .Counter("wigeonlb_quota_decisions_total",
+             { { "tenant", aOrganisation }, { "decision", aDecision } })
+    .Add(1);
+}
+
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/trafficmetrics.h
+++ b/apps/wigeonlbd/traffic/trafficmetrics.h
@@ -32,6 +32,9 @@
   //! Counts a session, or a statement of one, whose name has no route.
   //! Callable from any thread.
   void RecordRefusedSession(std::string_view aSqlstate);
+  //! Counts an operation that was admitted or refused by a quota.
+  void RecordQuotaDecision(std::string_view aOrganisation,
+                           std::string_view aDecision);
 
 private:
   foundation::MetricsRegistry& registry_;
--- a/apps/wigeonlbd/traffic/trafficruntime.cpp
+++ b/apps/wigeonlbd/traffic/trafficruntime.cpp
@@ -34,6 +34,7 @@
   shard.classify_ = aClassify;
   shard.seed_ = aBoot;
   shard.trace_ = callbacks_.trace_;
+  shard.requestTokens_ = callbacks_.requestTokens_;
 
   std::vector<caller::CallerWorker> workers;
   for (std::size_t index = 0; index < aSettings.trafficThreads_; ++index) {
@@ -124,6 +125,8 @@
       return GetSessionThread(aMessage.forward_closed().session());
     case Body::kForwardChecked:
       return GetSessionThread(aMessage.forward_checked().session());
+    case Body::kQuotaReply:
+      return *shards_[aMessage.quota_reply().shard() % shards_.size()];
     case Body::kForwardCheck:
       return GetGroupThread(aMessage.forward_check().group());
     case Body::kForwardCredit:
--- a/apps/wigeonlbd/traffic/trafficruntime.h
+++ b/apps/wigeonlbd/traffic/trafficruntime.h
@@ -33,6 +33,9 @@
   //! Called on any traffic thread, after each CollectReports.
   std::function<void(const foundation::GroupName&, std::uint32_t)>
     onConnections_;
+  //! Sends a request for tokens to the control leader. Called on any traffic
+  //! thread.
+  std::function<void(wire::QuotaRequest)> requestTokens_;
   recording::TraceRecorder* trace_ = nullptr; //!< null: no trace is recorded
   RequestLog* log_ = nullptr;                 //!< null: requests are not logged
 };
--- a/apps/wigeonlbd/traffic/trafficshard.cpp
+++ b/apps/wigeonlbd/traffic/trafficshard.cpp
@@ -18,6 +18,11 @@
 //! owners than this host.
 constexpr foundation::Duration kQuietPeriodMs = std::chrono::milliseconds(200);
 
+//! Retry delay that is suggested for a request whose organisation this host
+//! doesn't know: a heartbeat brings what it lacks.
+constexpr foundation::Duration kUnknownOrganisationRetryMs =
+  std::chrono::milliseconds(300);
+
 //! Maximum time for running requests of an owner group that is being closed.
 constexpr foundation::Duration kRetireTimeoutMs =
   std::chrono::milliseconds(30000);
@@ -46,6 +51,11 @@
            settings_.classify_)
   , closes_(aContext, *settings_.entry_.port_)
   , entry_(settings_.entry_)
+  , quota_(aContext,
+           entry_.boot_,
+           static_cast<std::uint32_t>(aIndex),
+           entry_.metrics_,
+           MakeQuotaCallbacks())
   , sweepTimer_(aContext)
 {
   entry_.cache_ = &cache_;
@@ -132,6 +142,8 @@
     OnChecked(aMessage.forward_checked());
   } else if (aMessage.has_forward_closed()) {
     OnClosed(aMessage.from(), aMessage.forward_closed());
+  } else if (aMessage.has_quota_reply()) {
+    quota_.OnReply(aMessage.quota_reply());
   } else {
     OnOwnerMessage(aMessage);
   }
@@ -236,17 +248,11 @@
   }
   OwnerGroup& owner = *found->second;
   if (IsRefusedWhileRetiring(owner, *group, aMessage)) {
-    // What the session has here was given up before the request was sent.
-    wire::ForwardClose close;
-    close.set_session(aMessage.forward_request().session());
-    close.set_request(aMessage.forward_request().request());
-    owner.OnClose(aMessage.from(), aMessage.boot(), close);
-    AnswerNotOwner(aMessage);
+    RefuseAsRetiring(owner, aMessage);
     return;
   }
   if (aMessage.has_forward_request()) {
-    owner.OnRequest(
-      aMessage.from(), aMessage.boot(), aMessage.forward_request());
+    OnRequest(owner, aMessage);
   } else if (aMessage.has_forward_credit()) {
     owner.OnCredit(aMessage.from(), aMessage.boot(), aMessage.forward_credit());
   } else if (aMessage.has_forward_cancel()) {
@@ -257,6 +263,89 @@
   }
 }
 
+void
+TrafficShard::OnRequest(OwnerGroup& aOwner, const wire::PeerMessage& aMessage)
+{
+  const wire::ForwardRequest& request = aMessage.forward_request();
+  if (!MayName(entry_.routes_, request.tenant())) {
+    AnswerNotRun(aMessage,
+                 "this owner doesn't know the caller's organisation yet",
+                 kUnknownOrganisationRetryMs);
+  } else if (QuotaGate::NeedsToken(entry_.routes_, request)) {
+    quota_.Admit(aMessage);
+  } else {
+    aOwner.OnRequest(aMessage.from(), aMessage.boot(), request);
+  }
+}
+
+QuotaCallbacks
+TrafficShard::MakeQuotaCallbacks()
+{
+  QuotaCallbacks callbacks;
+  callbacks.send_ = [this](wire::QuotaRequest aRequest) {
+    settings_.requestTokens_(std::move(aRequest));
+  };
+  callbacks.run_ = [this](const wire::PeerMessage& aMessage) {
+    return RunAdmitted(aMessage);
+  };
+  callbacks.refuse_ = [this](const wire::PeerMessage& aMessage,
+                             const std::string& aReason,
+                             foundation::Duration aRetryAfter) {
+    AnswerNotRun(aMessage, aReason, aRetryAfter);
+  };
+  return callbacks;
+}
+
+bool
+TrafficShard::RunAdmitted(const wire::PeerMessage& aMessage)
+{
+  const wire::ForwardRequest& request = aMessage.forward_request();
+  const auto owner = owners_.find(request.group());
+  const bool isOfFormerBoot =
+    boots_[aMessage.from()].present_ != aMessage.boot();
+  if (owner == owners_.end() || isOfFormerBoot) {
+    AnswerNotOwner(aMessage);
+    return false;
+  }
+  if (IsRefusedWhileRetiring(*owner->second, request.group(), aMessage)) {
+    RefuseAsRetiring(*owner->second, aMessage);
+    return false;
+  }
+  owner->second->OnRequest(aMessage.from(), aMessage.boot(), request);
+  return true;
+}
+
+void
+TrafficShard::RefuseAsRetiring(OwnerGroup& aOwner,
+                               const wire::PeerMessage& aMessage)
+{
+  // What the session has here was given up before the request was sent.
+  wire::ForwardClose close;
+  close.set_session(aMessage.forward_request().session());
+  close.set_request(aMessage.forward_request().request());
+  aOwner.OnClose(aMessage.from(), aMessage.boot(), close);
+  AnswerNotOwner(aMessage);
+}
+
+void
+TrafficShard::AnswerNotRun(const wire::PeerMessage& aMessage,
+                           const std::string& aReason,
+                           foundation::Duration aRetryAfter)
+{
+  wire::PeerMessage answer;
+  wire::ForwardEnd& end = *answer.mutable_forward_end();
+  end.set_session(aMessage.forward_request().session());
+  end.set_request(aMessage.forward_request().request());
+  end.set_boot(aMessage.boot());
+  end.set_outcome(wire::OUTCOME_NOT_RUN);
+  end.set_sqlstate(std::string(caller::sqlstates::kNotRun));
+  end.set_message(aReason);
+  end.set_retry_after_us(static_cast<std::uint64_t>(aRetryAfter.count()));
+  end.set_transaction_status("I");
+  // If it is lost, the request ends at its deadline.
+  (void)entry_.port_->SendForward(aMessage.from(), std::move(answer));
+}
+
 void
 TrafficShard::ConfirmClose(const wire::PeerMessage& aMessage)
 {
--- a/apps/wigeonlbd/traffic/trafficshard.h
+++ b/apps/wigeonlbd/traffic/trafficshard.h
@@ -15,6 +15,7 @@
 #include "caller/callersession.h"
 #include "traffic/entrysession.h"
 #include "traffic/ownergroup.h"
+#include "traffic/quotagate.h"
 
 namespace wigeonlb::daemon::traffic {
 
@@ -44,6 +45,8 @@
   OwnerProtocols protocols_;
   core::classification::Classifier classify_ = core::classification::Classify;
   std::uint64_t seed_ = 0;
+  //! Sends a request for tokens to the control leader.
+  std::function<void(wire::QuotaRequest)> requestTokens_;
   recording::TraceRecorder* trace_ = nullptr;
 };
 
@@ -117,6 +120,16 @@
   //! Returns false if the message is of the former start.
   bool IsOfPresentBoot(const wire::PeerMessage& aMessage);
   void AnswerNotOwner(const wire::PeerMessage& aMessage);
+  //! Passes a request to its owner group, once it has the token that it needs.
+  void OnRequest(OwnerGroup& aOwner, const wire::PeerMessage& aMessage);
+  //! Passes a request on that has its token. Returns false if it is refused:
+  //! what holds for its group may have changed while it waited.
+  bool RunAdmitted(const wire::PeerMessage& aMessage);
+  void RefuseAsRetiring(OwnerGroup& aOwner, const wire::PeerMessage& aMessage);
+  void AnswerNotRun(const wire::PeerMessage& aMessage,
+                    const std::string& aReason,
+                    foundation::Duration aRetryAfter);
+  QuotaCallbacks MakeQuotaCallbacks();
   void ConfirmClose(const wire::PeerMessage& aMessage);
   void AnswerCheck(const wire::PeerMessage& aMessage);
   //! Calls the function on each entry session; it may close sessions.
@@ -135,6 +148,7 @@
   core::classification::ClassificationCache cache_;
   CloseNotifier closes_;
   EntryContext entry_;
+  QuotaGate quota_;
   std::uint64_t nextNumber_ = 1;
   std::unordered_map<std::uint64_t, std::unique_ptr<EntrySession>> entries_;
   std::unordered_map<std::uint64_t, std::uint64_t> numbers_; //!< by caller
--- a/packages/caller/protocol.h
+++ b/packages/caller/protocol.h
@@ -99,6 +99,8 @@
   //! This host completed the statement without a target.
   void (*appendLocalComplete_)(std::string& aFrames, std::string_view aTag);
   void (*appendEmpty_)(std::string& aFrames);
+  //! The caller's name may be a key, which must not be logged or sent on.
+  bool userIsSecret_ = false;
 };
 
 //! The PostgreSQL 3.0 protocol, simple query only.
--- a/packages/caller/sqlstates.h
+++ b/packages/caller/sqlstates.h
@@ -30,6 +30,9 @@
 //! ROLLBACK.
 inline constexpr std::string_view kFailedTransaction = "25P02";
 
+//! The caller could not be identified. Nothing was run.
+inline constexpr std::string_view kInvalidAuthorization = "28000";
+
 //! No prepared statement has this name. Nothing was run.
 inline constexpr std::string_view kUnknownStatement = "26000";
 
--- a/packages/target/targetconnection.h
+++ b/packages/target/targetconnection.h
@@ -36,6 +36,9 @@
   //! started at the same address.
   std::string target_ = {};
   std::uint64_t incarnation_ = 0;
+  //! The organisation whose statements the connection carries, for protocols
+  //! that tell the target; empty: none in particular.
+  std::string organisation_ = {};
 };
 
 //! One statement to send to a target.
