--- a/apps/wigeonlbd/control/hostroutes.cpp
+++ b/apps/wigeonlbd/control/hostroutes.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-//! An organisation is large if its part of the sum of all rate limits is at
-//! least this divided by a typical number of owners of a group: one owner alone
-//! would be short of slots for it.
+//! An organisation is large if it may take a quarter of one owner's part of the
+//! load, by the rate limits: one owner alone would be short of slots for it.
 constexpr double kLargeShare = 0.25;
 constexpr double kTypicalOwners = 3;
 
--- a/apps/wigeonlbd/control/quotaservice.h
+++ b/apps/wigeonlbd/control/quotaservice.h
@@ -21,8 +21,6 @@
   void OnRequest(const foundation::HostId& aFrom,
                  const wire::QuotaRequest& aRequest);
 
-  const core::quota::Allocator& Allocator() const { return allocator_; }
-
 private:
   //! Starts a leadership, and takes over limits that have changed.
   void Update(foundation::Instant aNow);
--- a/apps/wigeonlbd/traffic/entrysession.cpp
+++ b/apps/wigeonlbd/traffic/entrysession.cpp
@@ -23,7 +23,8 @@
 
 constexpr std::string_view kServerVersion = "15.0 (wigeonlb)";
 
-//! A name in place of a secret one.
+//! Hexadecimal text of a digest, used as tenant where the user name may be a
+//! key.
 std::string
 FormatDigest(std::string_view aDigest)
 {
@@ -169,8 +170,8 @@
     return;
   }
   if (!InTransaction()) {
-    // The key may have been withdrawn, or have another holder, since the last
-    // operation.
+    // Since the last operation the key may have been removed, or assigned to
+    // another organisation.
     if (const auto error = IdentifyCaller()) {
       LogRefusal(*error, SteadyNow());
       FailLocally(*error);
--- a/apps/wigeonlbd/traffic/entrysession.h
+++ b/apps/wigeonlbd/traffic/entrysession.h
@@ -157,7 +157,7 @@
   std::optional<LocalError> IdentifyCaller();
   //! The error for a name that has no route at present.
   LocalError MakeNameError(NameVerdict aVerdict) const;
-  //! The error for a verdict that the configuration in force can't answer.
+  //! The error when this host's configuration is missing or too old to decide.
   LocalError MakeOutdatedError(NameVerdict aVerdict) const;
   //! Logs a refusal of the session's name with the configuration by which it
   //! was decided.
--- a/apps/wigeonlbd/traffic/ownermessages.cpp
+++ b/apps/wigeonlbd/traffic/ownermessages.cpp
@@ -90,7 +90,7 @@
 TrafficShard::OnRequest(OwnerGroup& aOwner, const wire::PeerMessage& aMessage)
 {
   const wire::ForwardRequest& request = aMessage.forward_request();
-  if (!MayName(entry_.routes_, request.tenant())) {
+  if (!IsKnownOrganisation(entry_.routes_, request.tenant())) {
     AnswerNotRun(aMessage,
                  "this owner doesn't know the caller's organisation yet",
                  kUnknownOrganisationRetryMs);
@@ -219,6 +219,7 @@
   end.set_boot(aMessage.boot());
   end.set_outcome(wire::OUTCOME_NOT_RUN);
   end.set_not_owner(true);
+  // If it is lost, the request ends at its deadline.
   (void)entry_.port_->SendForward(aMessage.from(), std::move(answer));
 }
 
--- a/apps/wigeonlbd/traffic/quotagate.cpp
+++ b/apps/wigeonlbd/traffic/quotagate.cpp
@@ -11,12 +11,19 @@
 namespace quota = core::quota;
 using foundation::SteadyNow;
 
-//! Requests of one organisation that may wait for tokens at the same time.
+//! Requests of one organisation that may wait for tokens at the same time. More
+//! would wait for longer than kMaxWaitMs at all but the highest rates.
 constexpr std::ptrdiff_t kMaxWaiting = 100;
 
+//! Decision in the metrics about requests beyond kMaxWaiting.
+constexpr std::string_view kTooManyWaiting = "too_many_waiting";
+
 //! Retry delay that is suggested for requests beyond kMaxWaiting.
 constexpr foundation::Duration kTooManyRetryMs = std::chrono::milliseconds(200);
 
+//! So that a due time in the past doesn't occupy the thread.
+constexpr foundation::Duration kMinTimerMs = std::chrono::milliseconds(1);
+
 std::string_view
 GetDecisionName(quota::Decision aDecision)
 {
@@ -38,8 +45,8 @@
 {
   return aDecision == quota::Decision::OverLimit
            ? "organisation " + aOrganisation + " has used up its rate limit"
-           : "no control leader confirms the quota of organisation " +
-               aOrganisation;
+           : "the control leader has not confirmed the quota of organisation " +
+               aOrganisation + " in time";
 }
 
 //! Shortens the times that are left to a request by the time that it waited.
@@ -102,7 +109,7 @@
     });
   if (waiting >= kMaxWaiting) {
     Refuse(aMessage,
-           "too_many",
+           kTooManyWaiting,
            "too many operations of organisation " + organisation +
              " wait for its quota",
            kTooManyRetryMs);
@@ -163,7 +170,7 @@
 QuotaGate::Work()
 {
   if (deciding_) {
-    return; // a request that is run may return its token at once
+    return; // called again by a request that DecideWaiting runs or refuses
   }
   deciding_ = true;
   DecideWaiting();
@@ -215,7 +222,7 @@
     timer_.cancel();
     return;
   }
-  timer_.expires_after(std::max(due - SteadyNow(), foundation::Duration(1000)));
+  timer_.expires_after(std::max(due - SteadyNow(), kMinTimerMs));
   timer_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
       timerDue_ = foundation::Instant::max();
--- a/apps/wigeonlbd/traffic/routingtable.cpp
+++ b/apps/wigeonlbd/traffic/routingtable.cpp
@@ -68,8 +68,8 @@
 }
 
 bool
-MayName(const RoutingTablePointer& aTable,
-        const foundation::Tenant& aOrganisation)
+IsKnownOrganisation(const RoutingTablePointer& aTable,
+                    const foundation::Tenant& aOrganisation)
 {
   return aTable == nullptr || aTable->organisations_ == nullptr ||
          aOrganisation.empty() ||
--- a/apps/wigeonlbd/traffic/routingtable.h
+++ b/apps/wigeonlbd/traffic/routingtable.h
@@ -125,11 +125,12 @@
          std::string_view aKeyDigest,
          foundation::Instant aNow);
 
-//! Whether a target may be told this name as the organisation of a request.
-//! Entry hosts that know of no organisations yet send other names.
+//! Whether this owner knows the organisation of a request, or uses none. Entry
+//! hosts that know of no organisations yet send other names, which a target
+//! must not be told.
 bool
-MayName(const RoutingTablePointer& aTable,
-        const foundation::Tenant& aOrganisation);
+IsKnownOrganisation(const RoutingTablePointer& aTable,
+                    const foundation::Tenant& aOrganisation);
 
 //! The owners of a group in the order in which to try them for an organisation.
 //! A small organisation has an order of its own, the same at every entry host:
--- a/packages/core/admission/fairqueue.cpp
+++ b/packages/core/admission/fairqueue.cpp
@@ -151,7 +151,8 @@
       bands.push_back(&band);
     }
   }
-  std::ranges::stable_partition(bands, [&](const Band* aBand) {
+  // clang 14 can't compile std::ranges::stable_partition of libstdc++ 12.
+  std::stable_partition(bands.begin(), bands.end(), [&](const Band* aBand) {
     return aBand->owed_ > 0 && aBand->owed_ >= aQueue.lastCost_;
   });
   return bands;
--- a/packages/core/admission/tests/fairqueue_tests.cpp
+++ b/packages/core/admission/tests/fairqueue_tests.cpp
@@ -66,7 +66,8 @@
 
 } // namespace
 
-TEST_CASE("with too little room, requests that are worth less go first",
+TEST_CASE("requests of low priority or with a missed objective are not served "
+          "before others",
           "[fairqueue]")
 {
   struct Row
--- a/packages/core/quota/allocator.cpp
+++ b/packages/core/quota/allocator.cpp
@@ -17,12 +17,12 @@
 // Tokens are handed out for operations that have not arrived yet only while a
 // bucket holds more than this part of its size, so that an organisation with a
 // low limit doesn't run out where it is needed.
-constexpr double kReservedForWaiting = 0.25;
+constexpr double kBucketPartForWaiting = 0.25;
 
-// Parts of the tokens that may be outstanding. While tokens of former leaders
-// may be valid, a leader hands out few: an established one has left most of
-// them. Two leaders that are new may follow it, as a leader waits for a second
-// before it decides.
+// The excess without the bucket is divided among the leaders whose tokens may
+// be valid at the same time: one that has led for a token's lifetime, and at
+// most two new ones after it, as a new leader waits for a second before it
+// decides.
 constexpr double kEstablishedShare = 2.0 / 3;
 constexpr double kNewLeaderShare = 1.0 / 6;
 
@@ -32,15 +32,13 @@
 constexpr Duration kTokenLifetimeWithDrift =
   kTokenLifetimeMs + kTokenLifetimeMs * kClockDriftPercent / 100;
 
-// When tokens are outstanding rather than used up, they are used or expire
-// soon.
+// Retry delay when the bucket has tokens but too many are outstanding: those
+// are used or expire soon.
 constexpr Duration kOutstandingRetryMs = std::chrono::milliseconds(20);
 
 // Tokens are handed out early only while more than this part of the limit of
 // outstanding tokens is left.
-constexpr double kRoomForWaiting = 0.2;
-
-constexpr Duration kMaxRetryMs = std::chrono::milliseconds(5000);
+constexpr double kOutstandingPartForWaiting = 0.2;
 
 double
 ToSeconds(Duration aDuration)
@@ -152,8 +150,8 @@
     limit - static_cast<double>(CountOutstanding(aQuota, aNow));
   const double forWaiting =
     std::min({ aQuota.level_, room, static_cast<double>(aDemand.waiting()) });
-  const double early = std::min(aQuota.level_ - size * kReservedForWaiting,
-                                room - limit * kRoomForWaiting);
+  const double early = std::min(aQuota.level_ - size * kBucketPartForWaiting,
+                                room - limit * kOutstandingPartForWaiting);
   const double available = std::max({ forWaiting, early, 0.0 });
   return static_cast<std::uint32_t>(
     std::min(std::floor(available), static_cast<double>(aDemand.wanted())));
@@ -170,8 +168,6 @@
 {
   const std::uint32_t count = CountToIssue(aAllocator, aQuota, aDemand, aNow);
   aQuota.level_ -= count;
-  aQuota.issued_ += count;
-  aQuota.withheld_ += aDemand.wanted() - count;
   if (count > 0) {
     aQuota.outstanding_[aHolder].unconfirmed_.push_back(
       { aSequence, count, aNow + kTokenLifetimeWithDrift });
@@ -184,6 +180,8 @@
   }
 }
 
+// Includes tokens that have expired and are not removed yet: those are what a
+// holder reports as expired.
 std::uint64_t
 CountOutstandingOf(const OrganisationQuota& aQuota, const HolderKey& aHolder)
 {
@@ -205,6 +203,8 @@
                 const HolderKey& aHolder,
                 std::uint64_t aExpired)
 {
+  // The first report only sets the count: what expired before was handed out by
+  // another leader.
   const auto [known, first] = aQuota.expired_.try_emplace(aHolder, aExpired);
   if (!first && aExpired > known->second) {
     aQuota.level_ += static_cast<double>(std::min<std::uint64_t>(
@@ -276,7 +276,8 @@
   reply.set_shard(aRequest.shard());
   reply.set_leader(true);
   const HolderKey holder{ aHost, aRequest.boot(), aRequest.shard() };
-  // A host that has started again has no other start.
+  // Start numbers have no order. What is known of the host's other starts is
+  // dropped, so that the maps don't grow with each restart.
   const auto isFormerStart = [&](const auto& aEntry) {
     const HolderKey& other = aEntry.first;
     return other.host_ == aHost && other.shard_ == holder.shard_ &&
@@ -303,6 +304,7 @@
       continue;
     }
     OrganisationQuota& quota = found->second;
+    // Before RemoveExpired, which forgets what may be taken back.
     TakeBackExpired(quota, holder, demand.expired());
     Fill(quota, aAllocator.tolerance_, aNow);
     RemoveExpired(quota, aNow);
--- a/packages/core/quota/allocator.h
+++ b/packages/core/quota/allocator.h
@@ -16,6 +16,9 @@
 constexpr foundation::Duration kTokenLifetimeMs =
   std::chrono::milliseconds(2000);
 
+//! Longest retry delay in a reply: the limit may be raised meanwhile.
+constexpr foundation::Duration kMaxRetryMs = std::chrono::milliseconds(5000);
+
 //! What an organisation may run at most within any window: (rate x window +
 //! burst) x (1 + overage) + slack operations.
 struct Tolerance
@@ -67,8 +70,6 @@
   std::map<HolderKey, Outstanding> outstanding_;
   //! Tokens of each holder that had expired unused, as it reported last.
   std::map<HolderKey, std::uint64_t> expired_;
-  std::uint64_t issued_ = 0;
-  std::uint64_t withheld_ = 0; //!< requested and not handed out
 };
 
 //! The control leader's tokens: a bucket for each limited organisation, and
--- a/packages/core/quota/tests/quotaschedules_tests.cpp
+++ b/packages/core/quota/tests/quotaschedules_tests.cpp
@@ -328,7 +328,10 @@
   }
 }
 
-TEST_CASE("a lowered limit binds one window later", "[quotaschedules]")
+TEST_CASE(
+  "an organisation does not exceed a lowered limit from one window after "
+  "the change",
+  "[quotaschedules]")
 {
   const Limit before{ 100, 100 };
   const Limit after{ 20, 20 };
@@ -364,7 +367,8 @@
   }
 }
 
-// Before, half of the operations of small organisations waited for a token.
+// Guards against too few tokens requested early: half of the operations of
+// small organisations then waited for one.
 TEST_CASE("an organisation with its usual demand is neither refused nor kept "
           "waiting",
           "[quotaschedules]")
--- a/packages/core/quota/tests/tokenholder_tests.cpp
+++ b/packages/core/quota/tests/tokenholder_tests.cpp
@@ -86,7 +86,8 @@
   CHECK(Admit(holder, "org", kStart + 3s).decision_ == Decision::Waits);
 }
 
-TEST_CASE("an idle organisation costs no messages", "[tokenholder]")
+TEST_CASE("a holder does not go on sending requests for an idle organisation",
+          "[tokenholder]")
 {
   TokenHolder holder = MakeWaitingHolder();
   OnReply(holder, MakeReply(1, 1), kStart + 5ms);
@@ -95,7 +96,7 @@
   CHECK(GetNextWork(holder) != Instant::max());
   for (Instant now = kStart; now < kStart + 8s; now += 100ms) {
     MakeRequest(holder, now);
-    // Or the holder's thread would never rest.
+    // A time in the past would make the timer run without a pause.
     CHECK(GetNextWork(holder) > now);
   }
   CHECK_FALSE(MakeRequest(holder, kStart + 10s));
--- a/packages/core/quota/tokenholder.cpp
+++ b/packages/core/quota/tokenholder.cpp
@@ -10,8 +10,9 @@
 using foundation::Duration;
 using foundation::Instant;
 
-// Tokens are requested for the demand of this time, so that a change of the
-// control leader is bridged.
+// Tokens are requested early for the usual demand of this time, so that
+// operations run on while the control leader changes. Less than
+// kTokenLifetimeMs, or tokens would expire unused.
 constexpr std::chrono::duration<double> kPrefetchSeconds{ 0.8 };
 
 // Interval of requests while nothing waits for a token.
@@ -25,13 +26,9 @@
 // would be lost.
 constexpr Duration kReplyTimeoutMs = std::chrono::milliseconds(100);
 
-// A leader that has not answered for this long has failed or can't be reached.
-constexpr Duration kLeaderTimeoutMs = std::chrono::milliseconds(300);
-
-// Operations wait for tokens that accrue within this time. Others are refused.
-constexpr Duration kMaxTokenWaitMs = std::chrono::milliseconds(50);
-
-constexpr std::uint64_t kMaxRetryUs = 5'000'000;
+// An operation waits if the leader's reply says that there may be tokens within
+// this time. Otherwise it is refused as over the limit.
+constexpr Duration kMaxRetryToWaitMs = std::chrono::milliseconds(50);
 
 // A new leader is expected after about this time.
 constexpr Duration kUnconfirmedRetryMs = std::chrono::milliseconds(400);
@@ -98,7 +95,7 @@
 IsLeaderSilent(const TokenHolder& aHolder, Instant aNow)
 {
   return !aHolder.unansweredSentAt_.empty() &&
-         aNow - aHolder.unansweredSentAt_.begin()->second > kLeaderTimeoutMs;
+         aNow - aHolder.unansweredSentAt_.begin()->second > kMaxWaitMs;
 }
 
 Admission
@@ -284,9 +281,9 @@
     if (grant.tokens() > 0) {
       AddTokens(found->second, grant.tokens(), sentAt + kTokenLifetimeMs);
     }
-    const Duration retryAfter(
-      static_cast<std::int64_t>(std::min(grant.retry_after_us(), kMaxRetryUs)));
-    if (retryAfter > kMaxTokenWaitMs) {
+    const Duration retryAfter(static_cast<std::int64_t>(
+      std::min<std::uint64_t>(grant.retry_after_us(), kMaxRetryMs.count())));
+    if (retryAfter > kMaxRetryToWaitMs) {
       found->second.overLimitUntil_ = aNow + retryAfter;
     }
   }
--- a/packages/core/quota/tokenholder.h
+++ b/packages/core/quota/tokenholder.h
@@ -21,7 +21,8 @@
 {
   std::deque<TokenBatch> batches_; //!< first the one that expires first
   std::uint32_t waiting_ = 0;      //!< operations that wait for a token
-  std::uint64_t expired_ = 0;      //!< tokens that have expired unused
+  //! Tokens that have expired unused.
+  std::uint64_t expired_ = 0;
   //! Moving average of the arrivals, including refused ones, as of demandAt_.
   double demandPerSecond_ = 0;
   foundation::Instant demandAt_;
@@ -49,7 +50,7 @@
   Admitted,    //!< with a token, which is used up
   Waits,       //!< for tokens that were or will be requested
   OverLimit,   //!< the limit is used up
-  Unconfirmed, //!< no token is held and no leader answers
+  Unconfirmed, //!< no token came in time
 };
 
 struct Admission
@@ -59,7 +60,8 @@
   foundation::Instant tokenUntil_; //!< if Admitted
 };
 
-//! Longest time that an operation waits for a token.
+//! Longest time that an operation waits for a token. A leader that has not
+//! answered for this long has failed or can't be reached.
 constexpr foundation::Duration kMaxWaitMs = std::chrono::milliseconds(300);
 
 //! Decides about an operation that has arrived.
@@ -77,8 +79,8 @@
              foundation::Instant aNow);
 
 //! Returns the token of an operation that was just admitted and is not run.
-//! NOTE A token must not be returned later. The leader takes it for used, and
-//! would not count it within a window.
+//! NOTE Only before the next request to the leader, which takes a token that is
+//! no longer reported as held for used.
 void
 ReturnToken(TokenHolder& aHolder,
             const foundation::Tenant& aOrganisation,
--- a/packages/core/traffic/internal/connections.cpp
+++ b/packages/core/traffic/internal/connections.cpp
@@ -164,7 +164,7 @@
   auto connection = std::make_unique<Connection>();
   connection->id_ = group.nextConnection_++;
   connection->organisation_ = aOrganisation;
-  connection->separate_ = group.byOrganisation_;
+  connection->byOrganisation_ = group.byOrganisation_;
   connection->target_ = &aTarget;
   pool::AddOpening(aTarget.pool_, *connection, aContext.now_);
   ++aContext.counters_.connectionsOpened_;
@@ -242,9 +242,10 @@
                          aContext.group_.settings_.guards_.closeAfterCancel_;
   const bool surplus =
     pool::CountConnections(target.pool_) > target.pool_.share_;
-  const bool mixed = aConnection.separate_ != aContext.group_.byOrganisation_;
+  const bool otherMode =
+    aConnection.byOrganisation_ != aContext.group_.byOrganisation_;
   aConnection.use_ = Use::None;
-  if (cancelled || surplus || mixed || !AcceptsWork(target)) {
+  if (cancelled || surplus || otherMode || !AcceptsWork(target)) {
     Close(aContext, aConnection);
     return;
   }
--- a/packages/core/traffic/internal/group.h
+++ b/packages/core/traffic/internal/group.h
@@ -157,8 +157,8 @@
 struct Connection : pool::PooledConnection
 {
   Target* target_ = nullptr;
-  //! Whether it was opened for one organisation, see Group::byOrganisation_.
-  bool separate_ = false;
+  //! Value of Group::byOrganisation_ when it was opened.
+  bool byOrganisation_ = false;
   BackendId backend_ = 0;
   Use use_ = Use::None;
   //! Session whose statement or transaction it carries; 0 for none.
@@ -225,7 +225,8 @@
   Instant suspectCutoff_;
   Instant suspectedAt_;
   Duration openBackoff_{ 0 };
-  //! After a failure, when the next connection may be opened.
+  //! After a failure, when the next connection may be opened; Instant() if
+  //! nothing is delayed.
   Instant openAt_;
 };
 
--- a/packages/core/traffic/internal/organisationconnections.cpp
+++ b/packages/core/traffic/internal/organisationconnections.cpp
@@ -15,7 +15,7 @@
 
 // Maximum number of queued requests of each queue that are examined in one
 // step.
-constexpr std::size_t kScanLimit = 32;
+constexpr std::size_t kOpenScanLimit = 32;
 
 // A request that has waited for this long without any connection of its
 // organisation takes the next free slot to open one, and may replace a
@@ -30,11 +30,11 @@
 GetFirstQueued(admission::FairQueue& aQueue)
 {
   std::vector<const Request*> requests;
-  admission::FindNext(
-    aQueue, kScanLimit, [&](const admission::QueueItem& aItem) {
-      requests.push_back(&static_cast<const Request&>(aItem));
-      return false;
-    });
+  const auto collect = [&](const admission::QueueItem& aItem) {
+    requests.push_back(&static_cast<const Request&>(aItem));
+    return false;
+  };
+  admission::FindNext(aQueue, kOpenScanLimit, collect, kScanPerOrganisation);
   return requests;
 }
 
@@ -84,7 +84,7 @@
   return replicas;
 }
 
-// The target with the most free slots.
+// The target with the fewest statements and openings in progress.
 Target*
 ChooseTargetToOpen(const Targets& aTargets, Instant aNow)
 {
@@ -111,8 +111,8 @@
 struct Candidates
 {
   Targets targets_;
-  bool hasIdle_ = false; //!< and the target a free slot
-  std::uint32_t soonIdle_ = 0;
+  bool hasIdle_ = false;       //!< one is idle, at a target with a free slot
+  std::uint32_t soonIdle_ = 0; //!< being opened, or running a statement
 };
 
 Candidates
@@ -158,7 +158,7 @@
     const Candidates candidates =
       FindCandidates(aFindTargets(*request), organisation);
     if (candidates.hasIdle_) {
-      ++ahead;
+      ++ahead; // It will use one of the free slots.
       continue;
     }
     const bool isOverdue = IsOverdue(aContext, *request);
@@ -231,6 +231,7 @@
   if (!aContext.group_.byOrganisation_) {
     return;
   }
+  // NextConnectionWork wakes up only for targets with a delay.
   for (auto& [name, target] : aContext.group_.targets_) {
     if (target->openAt_ <= aContext.now_) {
       target->openAt_ = Instant();
--- a/packages/core/traffic/tests/organisations_tests.cpp
+++ b/packages/core/traffic/tests/organisations_tests.cpp
@@ -124,7 +124,8 @@
         1.2 * best * static_cast<double>(outcome.sent_));
 }
 
-TEST_CASE("an organisation with one call a minute is served in a flood",
+TEST_CASE("an organisation with few requests is not kept out by organisations "
+          "with constant load",
           "[organisations]")
 {
   FakeGroup group = MakeGroup(3);
@@ -132,7 +133,7 @@
   for (int i = 0; i < 3000; ++i) {
     group.Send({ .session_ = 1000U + static_cast<SessionId>(i),
                  .deadline_ = 100ms,
-                 .tenant_ = "flood" + std::to_string(i % 10) });
+                 .tenant_ = "busy" + std::to_string(i % 10) });
     if (i % 300 == 0) {
       rare.push_back(group.Send({ .session_ = 1U + static_cast<SessionId>(i),
                                   .deadline_ = 500ms,
--- a/packages/foundation/identifiers.h
+++ b/packages/foundation/identifiers.h
@@ -17,8 +17,9 @@
 //! Name of a target, unique within its group.
 using TargetName = std::string;
 
-//! The caller's organisation or, if callers identify themselves by no key, its
-//! user name. Limits and histograms are kept per tenant.
+//! The caller's organisation. Without organisations its user name, or the
+//! digest of that if the protocol says that it may be secret. Histograms and
+//! fair queues are kept per tenant.
 using Tenant = std::string;
 
 //! Number of a configuration revision; increases with every accepted change.
--- a/packages/foundation/keydigest.h
+++ b/packages/foundation/keydigest.h
@@ -5,8 +5,9 @@
 
 namespace wigeonlb::foundation {
 
-//! Returns a cryptographic digest of a secret key, from which the key can't be
-//! computed. Hosts store, compare and send digests in place of keys.
+//! Returns a cryptographic digest of a secret key. Hosts store, compare and
+//! send digests in place of keys. A long random key can't be found from its
+//! digest.
 std::string
 DigestKey(std::string_view aKey);
 
--- a/testing/harness/overload_tests.py
+++ b/testing/harness/overload_tests.py
@@ -357,8 +357,8 @@
 
 
 def test_memory_held_by_writes_in_pieces(system):
-    """Guards against the same for messages that arrive in small pieces, which take
-    turns with those of the other callers."""
+    """Guards against buffering whole messages of all callers at the same time when
+    they arrive in small pieces by turns."""
     crowd = Crowd(system)
     check_single_write(crowd)
     crowd.watch()
@@ -394,8 +394,8 @@
 
 
 def test_memory_held_by_unread_refusals(system):
-    """Guards against the same for messages that the host refuses itself, without a
-    target: the parts of extended queries, which it doesn't support."""
+    """Guards against buffering unread answers to messages that the host refuses
+    itself, without a target: the parts of extended queries, which it doesn't support."""
     crowd = Crowd(system)
     crowd.watch()
     refused = message(b"P", b"\0SELECT 1\0\0\0") + message(b"S", b"")
