--- a/packages/core/quota/allocator.cpp
+++ b/packages/core/quota/allocator.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string_view>
 
 namespace wigeonlb::core::quota {
 
@@ -221,12 +223,12 @@
              const wire::QuotaRequest& aRequest,
              Instant aNow)
 {
+  std::set<std::string_view> named;
+  for (const wire::QuotaDemand& demand : aRequest.demands()) {
+    named.insert(demand.organisation());
+  }
   for (auto& [name, quota] : aAllocator.organisations_) {
-    const bool isNamed =
-      std::ranges::any_of(aRequest.demands(), [&](const auto& aDemand) {
-        return aDemand.organisation() == name;
-      });
-    if (!isNamed && quota.outstanding_.contains(aHolder)) {
+    if (!named.contains(name) && quota.outstanding_.contains(aHolder)) {
       NoteHeld(quota, aHolder, aRequest.last_reply(), 0, aNow);
     }
   }
