--- a/packages/core/admission/fairqueue.cpp
+++ b/packages/core/admission/fairqueue.cpp
@@ -13,25 +13,6 @@
 // waited for long doesn't delay the others for long.
 constexpr double kMaxOwedItems = 4;
 
-// Ranks of two adjacent priorities differ by this.
-constexpr std::uint64_t kRankStep = 2;
-
-// What can't meet its objective comes behind the next lower priority, and
-// before the one after that.
-constexpr std::uint64_t kLatePenalty = 3;
-
-std::uint64_t
-GetRank(const QueueItem& aItem)
-{
-  return aItem.priority_ * kRankStep;
-}
-
-std::uint64_t
-GetLateRank(const QueueItem& aItem)
-{
-  return GetRank(aItem) + kLatePenalty;
-}
-
 void
 DropIdleTenants(Band& aBand)
 {
@@ -43,38 +24,19 @@
   });
 }
 
-void
-PushToBand(FairQueue& aQueue, QueueItem& aItem, std::uint64_t aRank)
-{
-  Band& band = aQueue.bands_[aRank];
-  aItem.rank_ = aRank;
-  DropIdleTenants(band);
-  TenantQueue& tenant = band.tenants_[aItem.tenant_];
-  if (tenant.items_.empty()) {
-    tenant.tenant_ = aItem.tenant_;
-    if (!band.active_.empty()) {
-      tenant.served_ = std::max(tenant.served_, band.active_.begin()->served_);
-    }
-    band.active_.insert(tenant);
-  }
-  tenant.items_.insert(aItem);
-  ++band.size_;
-  ++aQueue.size_;
-}
-
 // What the bands behind the served one are owed now.
 void
-ChargeBands(FairQueue& aQueue, std::uint64_t aRank, double aCost)
+ChargeBands(FairQueue& aQueue, std::uint32_t aPriority, double aCost)
 {
   aQueue.lastCost_ = aCost;
-  for (auto& [rank, band] : aQueue.bands_) {
-    if (rank > aRank && band.size_ > 0) {
+  for (auto& [priority, band] : aQueue.bands_) {
+    if (priority > aPriority && band.size_ > 0) {
       band.owed_ =
         std::min(band.owed_ + aCost * kReservedShare / (1 - kReservedShare),
                  aCost * kMaxOwedItems);
     }
   }
-  Band& served = aQueue.bands_.at(aRank);
+  Band& served = aQueue.bands_.at(aPriority);
   served.owed_ = std::max(served.owed_ - aCost, 0.0);
 }
 
@@ -83,13 +45,25 @@
 void
 Push(FairQueue& aQueue, QueueItem& aItem)
 {
-  PushToBand(aQueue, aItem, GetRank(aItem));
+  Band& band = aQueue.bands_[aItem.priority_];
+  DropIdleTenants(band);
+  TenantQueue& tenant = band.tenants_[aItem.tenant_];
+  if (tenant.items_.empty()) {
+    tenant.tenant_ = aItem.tenant_;
+    if (!band.active_.empty()) {
+      tenant.served_ = std::max(tenant.served_, band.active_.begin()->served_);
+    }
+    band.active_.insert(tenant);
+  }
+  tenant.items_.insert(aItem);
+  ++band.size_;
+  ++aQueue.size_;
 }
 
 void
 Remove(FairQueue& aQueue, QueueItem& aItem)
 {
-  Band& band = aQueue.bands_.at(aItem.rank_);
+  Band& band = aQueue.bands_.at(aItem.priority_);
   TenantQueue& tenant = band.tenants_.at(aItem.tenant_);
   tenant.items_.erase(tenant.items_.iterator_to(aItem));
   --band.size_;
@@ -106,9 +80,9 @@
 Serve(FairQueue& aQueue, QueueItem& aItem, foundation::Duration aCost)
 {
   const auto cost = static_cast<double>(aCost.count());
-  Band& band = aQueue.bands_.at(aItem.rank_);
+  Band& band = aQueue.bands_.at(aItem.priority_);
   TenantQueue& tenant = band.tenants_.at(aItem.tenant_);
-  ChargeBands(aQueue, aItem.rank_, cost);
+  ChargeBands(aQueue, aItem.priority_, cost);
   Remove(aQueue, aItem);
   const bool active = tenant.activeHook_.is_linked();
   if (active) {
@@ -120,33 +94,11 @@
   }
 }
 
-void
-DemoteLate(FairQueue& aQueue, foundation::Instant aEnd)
-{
-  std::vector<QueueItem*> late;
-  for (auto& [rank, band] : aQueue.bands_) {
-    for (TenantQueue& tenant : band.active_) {
-      for (QueueItem& item : tenant.items_) {
-        if (ByObjective()(item) >= aEnd) {
-          break;
-        }
-        if (item.objectiveAt_ < aEnd && item.rank_ != GetLateRank(item)) {
-          late.push_back(&item);
-        }
-      }
-    }
-  }
-  for (QueueItem* const item : late) {
-    Remove(aQueue, *item);
-    PushToBand(aQueue, *item, GetLateRank(*item));
-  }
-}
-
 std::vector<Band*>
 ListBands(FairQueue& aQueue)
 {
   std::vector<Band*> bands;
-  for (auto& [rank, band] : aQueue.bands_) {
+  for (auto& [priority, band] : aQueue.bands_) {
     if (band.size_ > 0) {
       bands.push_back(&band);
     }
@@ -162,22 +114,22 @@
 CountAhead(const FairQueue& aQueue, const QueueItem& aItem)
 {
   std::size_t ahead = 0;
-  for (const auto& [rank, band] : aQueue.bands_) {
-    if (rank > GetRank(aItem)) {
+  for (const auto& [priority, band] : aQueue.bands_) {
+    if (priority > aItem.priority_) {
       break;
     }
-    if (rank < GetRank(aItem)) {
+    if (priority < aItem.priority_) {
       ahead += band.size_;
       continue;
     }
     const auto own = band.tenants_.find(aItem.tenant_);
     const std::size_t ownItems =
       own == band.tenants_.end() ? 0 : own->second.items_.size();
-    std::size_t sameRank = 0;
+    std::size_t samePriority = 0;
     for (const TenantQueue& tenant : band.active_) {
-      sameRank += std::min(tenant.items_.size(), ownItems + 1);
+      samePriority += std::min(tenant.items_.size(), ownItems + 1);
     }
-    ahead += std::min(sameRank, band.size_);
+    ahead += std::min(samePriority, band.size_);
   }
   return ahead;
 }
--- a/packages/core/admission/fairqueue.h
+++ b/packages/core/admission/fairqueue.h
@@ -26,7 +26,6 @@
   //! End of the caller's latency objective, if it has one.
   foundation::Instant objectiveAt_ = foundation::Instant::max();
   std::uint32_t priority_ = 0; //!< 0 is the highest
-  std::uint64_t rank_ = 0;     //!< of the band that it is in; set by Push
   intrusive::set_member_hook<> queueHook_;
 };
 
@@ -73,9 +72,8 @@
                                              intrusive::set_member_hook<>,
                                              &TenantQueue::activeHook_>>;
 
-//! Items of one priority, either those that can still meet their objective or
-//! those that can't. The tenant with the least service time goes first; within
-//! a tenant, the item with the earliest objective or deadline.
+//! Items of one priority. The tenant with the least service time goes first;
+//! within a tenant, the item with the earliest objective or deadline.
 struct Band
 {
   std::map<foundation::Tenant, TenantQueue> tenants_;
@@ -87,13 +85,11 @@
 };
 
 //! Queue of the items of many tenants with priorities, for more load than there
-//! is room for. Bands are served by priority; items that can no longer meet
-//! their objective come behind those of the next lower priority that can,
-//! because a late answer is worth little. A band gets at least
-//! kReservedShare of the service time, so that none starves.
+//! is room for. Higher priorities are served first; each lower one gets at
+//! least kReservedShare of the service time, so that none starves.
 struct FairQueue
 {
-  std::map<std::uint64_t, Band> bands_; //!< by rank, lowest first
+  std::map<std::uint32_t, Band> bands_; //!< by priority, 0 is the highest
   std::size_t size_ = 0;
   double lastCost_ = 0; //!< of the item served last, in microseconds
 };
@@ -115,11 +111,6 @@
 void
 Serve(FairQueue& aQueue, QueueItem& aItem, foundation::Duration aCost);
 
-//! Moves the items whose objective ends before aEnd, when an item that is
-//! served now will be finished, behind those that can meet theirs.
-void
-DemoteLate(FairQueue& aQueue, foundation::Instant aEnd);
-
 //! The bands in the order in which they are served now.
 std::vector<Band*>
 ListBands(FairQueue& aQueue);
--- a/packages/core/traffic/internal/dispatch.cpp
+++ b/packages/core/traffic/internal/dispatch.cpp
@@ -135,8 +135,6 @@
   if (primary == nullptr || !granted) {
     return;
   }
-  admission::DemoteLate(group.primaryQueue_,
-                        aContext.now_ + group.primaryService_.mean_);
   while (MayRunNow(group, *primary)) {
     auto* item = admission::FindNext(
       group.primaryQueue_,
@@ -178,8 +176,6 @@
 DispatchReads(Context& aContext)
 {
   Group& group = aContext.group_;
-  admission::DemoteLate(group.readQueue_,
-                        aContext.now_ + group.readService_.mean_);
   for (std::size_t i = 0; i < kScanLimit; ++i) {
     ReadDecision decision;
     auto* item = admission::FindNext(
