review: case 9, a core that is lost when a disk fails after a planned replacement

What breaks: CONFIG and RECOVER. A control process that gets SIGTERM leaves as a voter without a word, and its place is given to the newcomer only after 2.5 s of silence. A disk that is lost in that time leaves one voter of three that counts.

Order of events: a new core machine starts and catches up; 4.5 s later the one that it replaces gets SIGTERM and ends (the removed machine doesn't count any more); version 2 is acknowledged; 1 s after that end another core machine loses its disk and is back after 1 s. All three run, none ever leads again.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+exec python3 -B run.py
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -146,7 +146,7 @@
         self.record = record
         self.network = Network()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="wigeonlb-review-"))
-        self.controls, self.fronts = [], []
+        self.controls, self.fronts, self.added = [], [], []
         for index, zone in enumerate(zones):
             self.controls.append(Node(self, f"core-{zone}-1",
                                       self.network.ip(11 + index), zone, True))
@@ -154,13 +154,14 @@
             zone = zones[index % len(zones)]
             self.fronts.append(Node(self, f"front-{zone}-{index // len(zones) + 1}",
                                     self.network.ip(21 + index), zone, False))
+        self.callable = self.controls  # that the operator and the servers call
 
     def start(self):
         for node in self.controls + self.fronts:
             node.start()
 
     def close(self, keep=False):
-        for node in self.controls + self.fronts:
+        for node in self.controls + self.fronts + self.added:
             node.stop()
         if not keep:
             shutil.rmtree(self.folder, ignore_errors=True)
@@ -204,7 +205,7 @@
         end = time.monotonic() + seconds
         number = 0
         while time.monotonic() < end:
-            node = self.system.controls[number % len(self.system.controls)]
+            node = self.system.callable[number % len(self.system.callable)]
             number += 1
             status, text = await http_call(
                 f"{node.ip}:{CONTROL_PORT}", "PUT", "/config", body, timeout=2.0)
@@ -224,7 +225,7 @@
         end = time.monotonic() + seconds
         number = 0
         while time.monotonic() < end:
-            node = self.system.controls[number % len(self.system.controls)]
+            node = self.system.callable[number % len(self.system.callable)]
             number += 1
             status, text = await http_call(
                 f"{node.ip}:{CONTROL_PORT}", "GET", "/config", timeout=2.0)
@@ -393,7 +394,7 @@
 
     async def announce(self):
         """One heartbeat, to one node after another until it is acknowledged."""
-        for node in random.sample(self.system.controls, len(self.system.controls)):
+        for node in random.sample(self.system.callable, len(self.system.callable)):
             state = self.state
             status, _ = await http_call(
                 f"{node.ip}:{CONTROL_PORT}", "PUT", f"/instances/{self.id}",
@@ -418,7 +419,7 @@
 
     async def leave(self):
         """The end of a planned shutdown."""
-        for node in random.sample(self.system.controls, len(self.system.controls)):
+        for node in random.sample(self.system.callable, len(self.system.callable)):
             status, _ = await http_call(
                 f"{node.ip}:{CONTROL_PORT}", "DELETE", f"/instances/{self.id}",
                 {"born": self.born}, timeout=ACKNOWLEDGED_WITHIN_S)
