--- a/review/10/run.py
+++ b/review/10/run.py
@@ -51,8 +51,9 @@
             while not stop.is_set():
                 count += 1
                 sent = record.now()
-                _, outcome, detail, state = await client.query(
+                request, outcome, detail, state = await client.query(
                     f"WRITE i{number} d{number}-{count}")
+                record.write(f"w{number}: WRITE {request}: {outcome} {detail[:60]}")
                 served.append((sent, outcome == "done" and detail != "-"))
                 await asyncio.sleep(0.05)
                 if outcome == "lost" or state != "I":
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -585,6 +585,8 @@
         number = server.log[-1][1] + 1 if server.log else 1
         entry = (server.term, number, request, *self.writes[-1][1:])
         server.log.append(entry)
+        server.database.record.write(
+            f"{server.id} commits {request} at {server.term}.{number}")
         server.applied = len(server.log)
         self.state, self.writes = "I", []
         if await server.database.replicate(server, entry):
