--- a/review/9/run.py
+++ b/review/9/run.py
@@ -160,8 +160,9 @@
     record = Record(HERE / "record.txt")
     try:
         result = asyncio.run(run(record))
-    except CannotRun as error:
-        record.write(f"could not run: {error}")
+    except (Exception, KeyboardInterrupt) as error:
+        # Also an error of the script or its end from outside says nothing of the rule.
+        record.write(f"could not run: {error!r}")
         result = 2
     record.write(f"exit {result}")
     return result
