--- a/apps/wigeonlbd/control/changesubmitter.cpp
+++ b/apps/wigeonlbd/control/changesubmitter.cpp
@@ -158,9 +158,8 @@
   const bool leads =
     member_ != nullptr && member_->IsReady() && member_->HoldsLease();
   const bool enough =
-    leads &&
-    core::consensus::HasWantedQuorum(
-      core::consensus::Members(member_->Consensus()).voters_size(), minVoters_);
+    leads && core::consensus::HasWantedQuorum(
+               core::consensus::Members(member_->Consensus()), minVoters_);
   if (!leads && Relay(requester, aRequest)) {
     return;
   }
--- a/apps/wigeonlbd/control/memberplanner.cpp
+++ b/apps/wigeonlbd/control/memberplanner.cpp
@@ -12,8 +12,9 @@
 using foundation::Duration;
 using foundation::Instant;
 
-//! Minimum time between two plans.
-constexpr Duration kMemberChangeIntervalMs = std::chrono::milliseconds(200);
+//! Minimum time between two plans; short against the time after which a voter
+//! counts as unresponsive.
+constexpr Duration kMemberChangeIntervalMs = std::chrono::milliseconds(50);
 
 //! Minimum time between two log lines about the same refusal.
 constexpr Duration kRefusalLogIntervalMs = std::chrono::milliseconds(5000);
@@ -23,7 +24,7 @@
 {
   std::vector<consensus::MemberCandidate> candidates;
   for (const auto& [name, host] : aLeader.membership_.hosts_) {
-    if (host.info_.may_vote()) {
+    if (host.info_.may_vote() && !host.info_.draining()) {
       candidates.push_back({ name, host.info_.peer_address() });
     }
   }
@@ -38,7 +39,7 @@
     "members-change-proposed",
     { { "step", std::string(ToText(aPlan.step_)) },
       { "host", aPlan.host_ },
-      { "unresponsive", aPlan.unresponsive_ },
+      { "outgoing", aPlan.outgoing_ },
       { "voters", std::to_string(aPlan.members_.voters_size()) },
       { "learners", std::to_string(aPlan.members_.learners_size()) } });
 }
@@ -49,19 +50,19 @@
            const consensus::ConsensusState& aConsensus,
            Instant aNow)
 {
-  const bool known = aPlanner.loggedHost_ == aPlan.unresponsive_ &&
+  const bool known = aPlanner.loggedHost_ == aPlan.outgoing_ &&
                      aPlanner.loggedRefusal_ == aPlan.refusal_;
   if (known && aNow - aPlanner.loggedAt_ < kRefusalLogIntervalMs) {
     return;
   }
-  aPlanner.loggedHost_ = aPlan.unresponsive_;
+  aPlanner.loggedHost_ = aPlan.outgoing_;
   aPlanner.loggedRefusal_ = aPlan.refusal_;
   aPlanner.loggedAt_ = aNow;
   const wire::MemberChange& members = Members(aConsensus);
   foundation::LogWarning(
     "control",
     "members-change-refused",
-    { { "unresponsive", aPlan.unresponsive_ },
+    { { "outgoing", aPlan.outgoing_ },
       { "reason", std::string(ToText(aPlan.refusal_)) },
       { "voters", std::to_string(members.voters_size()) },
       { "wanted", std::to_string(aPlanner.wantedVoters_) },
--- a/apps/wigeonlbd/control/memberreport.cpp
+++ b/apps/wigeonlbd/control/memberreport.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "core/consensus/memberplan.h"
-
 namespace wigeonlb::daemon::control {
 
 namespace {
@@ -14,6 +12,9 @@
 using core::consensus::QuorumStanding;
 using foundation::Instant;
 
+//! Silence after which a voter is reported as lost; longer than a restart.
+constexpr foundation::Duration kVoterLostMs = std::chrono::milliseconds(2500);
+
 using Lines = std::vector<ReportLine>;
 using Fields = std::vector<foundation::LogField>;
 
@@ -50,7 +51,7 @@
 IsLostVoter(const MemberStatus& aStatus)
 {
   return aStatus.standing_ == MemberStanding::SilentVoter &&
-         *aStatus.silence_ >= core::consensus::kVoterTimeoutMs;
+         *aStatus.silence_ >= kVoterLostMs;
 }
 
 void
--- a/packages/core/consensus/consensus.cpp
+++ b/packages/core/consensus/consensus.cpp
@@ -189,6 +189,12 @@
   Compact(state.log_, aEvent.snapshot_, state.settings_.retainedEntries_);
 }
 
+void
+Handle(StepContext& aContext, const Leave&)
+{
+  aContext.state_.leaving_ = true;
+}
+
 void
 Handle(StepContext& aContext, const StorageFailed&)
 {
@@ -377,6 +383,21 @@
   return aState.hardState_.recovering();
 }
 
+bool
+MayLeave(const ConsensusState& aState, foundation::Instant aNow)
+{
+  const wire::MemberChange& committed =
+    MembersAt(aState.log_, aState.commitIndex_);
+  if (aState.role_ == Role::Failed ||
+      !IsVoter(committed, aState.settings_.self_)) {
+    return true;
+  }
+  if (aState.role_ == Role::Leader) {
+    return !ReplacesVoters(aState, aNow);
+  }
+  return aState.leader_.empty() || !aState.leaderReplacesVoters_;
+}
+
 const wire::MemberChange&
 Members(const ConsensusState& aState)
 {
--- a/packages/core/consensus/consensus.h
+++ b/packages/core/consensus/consensus.h
@@ -79,8 +79,13 @@
   std::optional<foundation::Instant> inFlightSince_;
   //! Send time of the latest request that the member has answered.
   std::optional<foundation::Instant> answeredSentAt_;
+  //! Rounds of heartbeats that it has not answered. Unlike a time, this does
+  //! not grow while the leader itself is held up.
+  int unansweredRounds_ = 0;
   std::uint64_t incarnation_ = 0;
   bool recovering_ = false;
+  bool leaving_ = false;
+  bool jointQuorums_ = false; //!< it counts quorums of outgoing voters
   //! Log index that a recovering member must reach before it is readmitted.
   std::uint64_t readmitAt_ = 0;
   //! Last index of the snapshot that is being sent; zero: none.
@@ -129,6 +134,11 @@
   bool snapshotRequested_ = false;
   //! Founders that reported an empty history, with the time of the report.
   std::map<foundation::HostId, foundation::Instant> foundersWithoutHistory_;
+  bool leaving_ = false; //!< this host is to stop
+  //! Of a follower: its leader could replace a voter, or is about to.
+  bool leaderReplacesVoters_ = false;
+  //! The other host that was heard of last as a leader.
+  foundation::HostId formerLeader_;
 };
 
 // ---------------------------------------------------------------- events
@@ -154,8 +164,11 @@
 //! A Persist, TakeSnapshot or InstallSnapshot action failed.
 struct StorageFailed
 {};
-using Event =
-  std::variant<Tick, MessageReceived, Propose, SnapshotSaved, StorageFailed>;
+//! This host is to stop. If it is a voter, another member may take its vote.
+struct Leave
+{};
+using Event = std::
+  variant<Tick, MessageReceived, Propose, SnapshotSaved, StorageFailed, Leave>;
 
 // --------------------------------------------------------------- actions
 
@@ -213,6 +226,7 @@
   None,
   EarlierUncommitted, //!< the change before, or this term, is not committed
   NotOneStep,
+  EarlierVersion, //!< a voter does not count quorums of outgoing voters
   NoLearner,
   AddedHostSilent,
   AddedHostBehind,
@@ -284,6 +298,11 @@
 bool
 IsRecovering(const ConsensusState& aState);
 
+//! True if this host may stop without weakening the group: it is no voter, or
+//! no learner is ready to take its vote.
+bool
+MayLeave(const ConsensusState& aState, foundation::Instant aNow);
+
 //! The members in force according to this member's log; the founders until the
 //! first membership change.
 const wire::MemberChange&
--- a/packages/core/consensus/internal/election.cpp
+++ b/packages/core/consensus/internal/election.cpp
@@ -1,5 +1,6 @@
 #include "core/consensus/internal/election.h"
 
+#include "core/consensus/internal/quorum.h"
 #include "core/consensus/internal/replication.h"
 
 namespace wigeonlb::core::consensus {
@@ -11,8 +12,8 @@
 {
   ConsensusState& state = aContext.state_;
   state.votes_ = { state.settings_.self_ };
-  for (const foundation::HostId& host : Members(state).voters()) {
-    if (host == state.settings_.self_) {
+  for (const foundation::HostId& host : OtherMembers(state)) {
+    if (!IsVoter(Members(state), host)) {
       continue;
     }
     wire::ConsensusMessage message = NewMessage(state, host);
@@ -21,7 +22,7 @@
     request.set_pre_vote(aPreVote);
     request.set_last_index(LastIndex(state.log_));
     request.set_last_term(LastTerm(state.log_));
-    request.set_added_incarnation(AddedIncarnation(state, host));
+    request.set_added_incarnation(GetVotingIncarnation(state.log_, host));
     Send(aContext, std::move(message));
   }
 }
@@ -39,11 +40,9 @@
 bool
 HasVoteQuorum(const ConsensusState& aState)
 {
-  std::size_t count = 0;
-  for (const foundation::HostId& host : Members(aState).voters()) {
-    count += aState.votes_.count(host);
-  }
-  return count >= QuorumSize(aState);
+  return HasQuorum(Members(aState), [&](const foundation::HostId& aHost) {
+    return aState.votes_.contains(aHost);
+  });
 }
 
 void
@@ -172,8 +171,9 @@
   // A vote of an earlier incarnation of the voter is ignored.
   if (state.role_ != role || aMessage.term() != expected ||
       (aMessage.recovering() &&
-       AddedIncarnation(state, aMessage.from()) == 0) ||
-      aMessage.incarnation() != AdmittedIncarnation(state, aMessage.from())) {
+       GetVotingIncarnation(state.log_, aMessage.from()) == 0) ||
+      aMessage.incarnation() !=
+        GetAdmittedIncarnation(Members(state), aMessage.from())) {
     return;
   }
   state.votes_.insert(aMessage.from());
--- a/packages/core/consensus/internal/recovery.cpp
+++ b/packages/core/consensus/internal/recovery.cpp
@@ -83,7 +83,7 @@
   ConsensusState& state = aContext.state_;
   const Progress& progress = state.progress_[aHost];
   if (!progress.recovering_ || !IsVoter(Members(state), aHost) ||
-      progress.incarnation_ == AdmittedIncarnation(state, aHost) ||
+      progress.incarnation_ == GetAdmittedIncarnation(Members(state), aHost) ||
       progress.match_ < progress.readmitAt_) {
     return;
   }
--- a/packages/core/consensus/internal/replication.cpp
+++ b/packages/core/consensus/internal/replication.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/consensus/internal/quorum.h"
 #include "core/consensus/internal/recovery.h"
 #include "core/consensus/internal/snapshottransfer.h"
 
@@ -15,26 +16,40 @@
   }
   const auto progress = aState.progress_.find(aHost);
   return progress != aState.progress_.end() && !progress->second.recovering_ &&
-         progress->second.incarnation_ == AdmittedIncarnation(aState, aHost);
+         progress->second.incarnation_ ==
+           GetAdmittedIncarnation(Members(aState), aHost);
 }
 
 namespace {
 
-// The highest value that a quorum of voters has reached. Voters that do not
-// count for quorums have the value aNone.
+// The highest value that a quorum has reached. Voters that do not count for
+// quorums have the value aNone.
 template<typename Value, typename Read>
 Value
 QuorumValue(const ConsensusState& aState, Value aNone, Read aRead)
 {
-  std::vector<Value> values;
-  for (const foundation::HostId& host : Members(aState).voters()) {
-    values.push_back(CountsForQuorum(aState, host) ? aRead(host) : aNone);
-  }
-  if (values.empty()) {
-    return aNone;
+  return ComputeQuorumValue<Value>(
+    Members(aState), [&](const foundation::HostId& aHost) {
+      return CountsForQuorum(aState, aHost) ? aRead(aHost) : aNone;
+    });
+}
+
+// Completes a committed change of members: from now on quorums of the new
+// voters suffice.
+void
+CompleteMemberChange(StepContext& aContext)
+{
+  const ConsensusState& state = aContext.state_;
+  const bool committed =
+    state.log_.members_.back().first <= state.commitIndex_ &&
+    HasCommittedOwnTerm(state);
+  if (state.role_ != Role::Leader || !IsJoint(Members(state)) || !committed) {
+    return;
   }
-  std::ranges::sort(values, std::greater<>());
-  return values[QuorumSize(aState) - 1];
+  wire::ControlRecord record;
+  *record.mutable_members() = Members(state);
+  record.mutable_members()->clear_outgoing_voters();
+  ProposeRecord(aContext, record);
 }
 
 void
@@ -50,6 +65,7 @@
   if (index > state.commitIndex_ &&
       TermAt(state.log_, index) == state.hardState_.term()) {
     AdvanceCommit(aContext, index);
+    CompleteMemberChange(aContext);
   }
 }
 
@@ -68,19 +84,17 @@
 
 namespace {
 
-// True if a quorum of these voters counts and has answered recently.
+// True if a quorum counts and has answered recently.
 bool
 CanCommit(const ConsensusState& aState,
           const wire::MemberChange& aMembers,
           foundation::Instant aNow)
 {
-  int count = 0;
-  for (const foundation::HostId& host : aMembers.voters()) {
-    count += host == aState.settings_.self_ ||
-             (CountsForQuorum(aState, host) &&
-              HasAnsweredRecently(aState, host, aNow));
-  }
-  return count >= aMembers.voters_size() / 2 + 1;
+  return HasQuorum(aMembers, [&](const foundation::HostId& aHost) {
+    return aHost == aState.settings_.self_ ||
+           (CountsForQuorum(aState, aHost) &&
+            HasAnsweredRecently(aState, aHost, aNow));
+  });
 }
 
 void
@@ -169,6 +183,13 @@
   for (const foundation::HostId& host : OtherMembers(state)) {
     state.progress_[host].next_ = LastIndex(state.log_) + 1;
   }
+  // A quorum has voted, and none of it has heard of the former leader for the
+  // shortest election timeout.
+  const auto former = state.progress_.find(state.formerLeader_);
+  if (former != state.progress_.end()) {
+    former->second.unansweredRounds_ = static_cast<int>(
+      state.settings_.electionTimeoutMin_ / state.settings_.heartbeatInterval_);
+  }
   state.incoming_.reset();
   state.heartbeatDue_ = aContext.now_ + state.settings_.heartbeatInterval_;
   ProposeRecord(aContext, wire::ControlRecord());
@@ -199,18 +220,70 @@
   if (!HasAnsweredRecently(aState, aHost, aNow)) {
     return ChangeRefusal::AddedHostSilent;
   }
+  const Progress& progress = aState.progress_.at(aHost);
+  if (progress.leaving_) {
+    return ChangeRefusal::AddedHostSilent;
+  }
   // A voter that lacks the log can't acknowledge entries until it has them.
-  return aState.progress_.at(aHost).match_ < aState.commitIndex_
-           ? ChangeRefusal::AddedHostBehind
-           : ChangeRefusal::None;
+  return progress.match_ < aState.commitIndex_ ? ChangeRefusal::AddedHostBehind
+                                               : ChangeRefusal::None;
 }
 
+bool
+ReplacesVoters(const ConsensusState& aState, foundation::Instant aNow)
+{
+  if (IsJoint(Members(aState)) ||
+      aState.log_.members_.back().first > aState.commitIndex_) {
+    return true;
+  }
+  return std::ranges::any_of(
+    Members(aState).learners(), [&](const foundation::HostId& aHost) {
+      return CheckAddedHost(aState, aHost, aNow) == ChangeRefusal::None;
+    });
+}
+
+namespace {
+
+// True if all voters that the change keeps or adds count quorums of outgoing
+// voters, as they have told this leader. One that it removes need not: its own
+// vote is missing from any quorum that it could be elected by wrongly.
+bool
+SupportsJointQuorums(const ConsensusState& aState,
+                     const wire::MemberChange& aChange)
+{
+  return std::ranges::all_of(
+    aChange.voters(), [&](const foundation::HostId& aHost) {
+      const auto progress = aState.progress_.find(aHost);
+      return aHost == aState.settings_.self_ ||
+             (progress != aState.progress_.end() &&
+              progress->second.jointQuorums_);
+    });
+}
+
+// Whether the change has the form of a step, given the voters that it adds and
+// removes: one voter at most, or the voters before are the outgoing ones.
+bool
+IsOneStep(const ConsensusState& aState,
+          const wire::MemberChange& aChange,
+          std::size_t aDifference)
+{
+  if (!IsJoint(aChange)) {
+    return aDifference <= 1;
+  }
+  const std::set<std::string> outgoing(aChange.outgoing_voters().begin(),
+                                       aChange.outgoing_voters().end());
+  const auto& before = Members(aState).voters();
+  return outgoing == std::set<std::string>(before.begin(), before.end());
+}
+
+} // namespace
+
 ChangeRefusal
 CheckChange(const ConsensusState& aState,
             const wire::MemberChange& aChange,
             foundation::Instant aNow)
 {
-  if (!HasCommittedOwnTerm(aState) ||
+  if (!HasCommittedOwnTerm(aState) || IsJoint(Members(aState)) ||
       aState.log_.members_.back().first > aState.commitIndex_) {
     return ChangeRefusal::EarlierUncommitted;
   }
@@ -221,17 +294,22 @@
   std::vector<std::string> difference;
   std::ranges::set_symmetric_difference(
     before, after, std::back_inserter(difference));
-  if (after.empty() || difference.size() > 1 ||
+  if (after.empty() || !IsOneStep(aState, aChange, difference.size()) ||
       after.size() != static_cast<std::size_t>(aChange.voters_size())) {
     return ChangeRefusal::NotOneStep;
   }
-  const bool adds = !difference.empty() && after.contains(difference[0]);
-  if (adds && !HasAnsweredRecently(aState, difference[0], aNow)) {
-    return ChangeRefusal::AddedHostSilent;
+  if (IsJoint(aChange) && !SupportsJointQuorums(aState, aChange)) {
+    return ChangeRefusal::EarlierVersion;
   }
-  // A voter that lacks the log can't acknowledge entries until it has them.
-  if (adds && aState.progress_.at(difference[0]).match_ < aState.commitIndex_) {
-    return ChangeRefusal::AddedHostBehind;
+  auto refusal = ChangeRefusal::None;
+  for (const std::string& host : difference) {
+    const bool added = after.contains(host);
+    refusal = std::max(refusal,
+                       added ? CheckAddedHost(aState, host, aNow)
+                             : ChangeRefusal::None);
+  }
+  if (refusal != ChangeRefusal::None) {
+    return refusal;
   }
   return CanCommit(aState, aChange, aNow) ? ChangeRefusal::None
                                           : ChangeRefusal::NoQuorum;
@@ -265,6 +343,7 @@
   request.set_previous_term(TermAt(state.log_, progress.next_ - 1));
   request.set_commit_index(state.commitIndex_);
   request.set_round(aContext.now_.time_since_epoch().count());
+  request.set_replaces_voters(ReplacesVoters(state, aContext.now_));
   FillEntries(state, progress.next_, request);
   Send(aContext, std::move(message));
 }
@@ -276,6 +355,7 @@
   state.heartbeatDue_ = aContext.now_ + state.settings_.heartbeatInterval_;
   for (const foundation::HostId& host : OtherMembers(state)) {
     SendUpdate(aContext, host);
+    ++state.progress_[host].unansweredRounds_;
   }
 }
 
@@ -318,6 +398,9 @@
     progress.readmitAt_ = state.commitIndex_;
   }
   progress.recovering_ = aMessage.recovering();
+  progress.jointQuorums_ = aMessage.joint_quorums();
+  progress.leaving_ = aMessage.leaving();
+  progress.unansweredRounds_ = 0;
   const foundation::Instant sentAt{ foundation::Duration(aRound) };
   progress.answeredSentAt_ = std::max(
     progress.answeredSentAt_, std::optional<foundation::Instant>(sentAt));
@@ -352,6 +435,7 @@
   const wire::AppendRequest& request = aMessage.append_request();
   wire::AppendReply reply;
   reply.set_round(request.round());
+  state.leaderReplacesVoters_ = request.replaces_voters();
   const std::uint64_t previous = request.previous_index();
   const bool agrees = previous < state.log_.baseIndex_ ||
                       HasEntry(state.log_, previous, request.previous_term());
--- a/packages/core/consensus/internal/replication.h
+++ b/packages/core/consensus/internal/replication.h
@@ -28,8 +28,13 @@
                const foundation::HostId& aHost,
                foundation::Instant aNow);
 
+//! True if a voter can be replaced now, or a change of members is not complete.
+bool
+ReplacesVoters(const ConsensusState& aState, foundation::Instant aNow);
+
 //! Why a membership change may not be proposed now, or None:
-//! - It adds or removes at most one voter.
+//! - It adds or removes at most one voter, or names the present voters as
+//!   outgoing ones. Then the voters that it keeps or adds must know of these.
 //! - An added voter is a learner that has answered recently and has caught up
 //!   with the committed log.
 //! - The previous change is committed, and so is an entry of this term.
--- a/packages/core/consensus/internal/stepcontext.cpp
+++ b/packages/core/consensus/internal/stepcontext.cpp
@@ -71,6 +71,8 @@
   message.set_term(aState.hardState_.term());
   message.set_incarnation(aState.hardState_.incarnation());
   message.set_recovering(aState.hardState_.recovering());
+  message.set_joint_quorums(true);
+  message.set_leaving(aState.leaving_);
   return message;
 }
 
@@ -95,21 +97,6 @@
   return others;
 }
 
-std::size_t
-QuorumSize(const ConsensusState& aState)
-{
-  return Members(aState).voters_size() / 2 + 1;
-}
-
-std::uint64_t
-AdmittedIncarnation(const ConsensusState& aState,
-                    const foundation::HostId& aHost)
-{
-  const auto& incarnations = Members(aState).incarnations();
-  const auto found = incarnations.find(aHost);
-  return found == incarnations.end() ? 0 : found->second;
-}
-
 void
 ResetElectionTimer(StepContext& aContext)
 {
@@ -154,6 +141,9 @@
   }
   state.role_ = Role::Follower;
   state.leader_ = aLeader;
+  if (!aLeader.empty()) {
+    state.formerLeader_ = aLeader;
+  }
 }
 
 void
@@ -191,16 +181,6 @@
   AfterCommit(aContext);
 }
 
-std::uint64_t
-AddedIncarnation(const ConsensusState& aState, const HostId& aHost)
-{
-  const auto& history = aState.log_.members_;
-  const bool added = history.size() > 1 &&
-                     IsVoter(history.back().second, aHost) &&
-                     !IsVoter(history[history.size() - 2].second, aHost);
-  return added ? AdmittedIncarnation(aState, aHost) : 0;
-}
-
 // consensus.md explains why an uncommitted change that adds this host is enough
 // to end recovery.
 void
@@ -209,7 +189,7 @@
   ConsensusState& state = aContext.state_;
   if (!state.hardState_.recovering() ||
       (!Admits(MembersAt(state.log_, state.commitIndex_), state) &&
-       AddedIncarnation(state, state.settings_.self_) !=
+       GetVotingIncarnation(state.log_, state.settings_.self_) !=
          state.hardState_.incarnation())) {
     return;
   }
--- a/packages/core/consensus/internal/stepcontext.h
+++ b/packages/core/consensus/internal/stepcontext.h
@@ -27,16 +27,6 @@
 std::vector<foundation::HostId>
 OtherMembers(const ConsensusState& aState);
 
-//! Size of a quorum of the voters in force.
-std::size_t
-QuorumSize(const ConsensusState& aState);
-
-//! The incarnation with which a host is admitted by the members in force; zero,
-//! the incarnation of the founders, if none is listed.
-std::uint64_t
-AdmittedIncarnation(const ConsensusState& aState,
-                    const foundation::HostId& aHost);
-
 //! Restarts the election timer with a random timeout.
 void
 ResetElectionTimer(StepContext& aContext);
@@ -70,12 +60,6 @@
 void
 AdvanceCommit(StepContext& aContext, std::uint64_t aIndex);
 
-//! The incarnation with which the latest membership change, committed or not,
-//! adds a voter; zero if it does not add the host. The change before it is
-//! committed, so nothing depends on an earlier incarnation of that voter.
-std::uint64_t
-AddedIncarnation(const ConsensusState& aState, const foundation::HostId& aHost);
-
 //! Ends the recovery of a member that lost its disk once its log admits its
 //! current incarnation as a voter.
 void
--- a/packages/core/consensus/memberplan.cpp
+++ b/packages/core/consensus/memberplan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/consensus/internal/quorum.h"
 #include "core/consensus/internal/replication.h"
 
 namespace wigeonlb::core::consensus {
@@ -33,22 +34,63 @@
 }
 
 bool
-IsUnresponsive(const ConsensusState& aState, const HostId& aHost, Instant aNow)
+IsUnresponsive(const ConsensusState& aState, const HostId& aHost)
 {
+  const auto progress = aState.progress_.find(aHost);
+  const int rounds =
+    progress == aState.progress_.end() ? 0 : progress->second.unansweredRounds_;
   return aHost != aState.settings_.self_ &&
-         GetSilence(aState, aHost, aNow) >= kVoterTimeoutMs;
+         rounds * aState.settings_.heartbeatInterval_ >= kVoterTimeoutMs;
+}
+
+bool
+IsLeaving(const ConsensusState& aState, const HostId& aHost)
+{
+  if (aHost == aState.settings_.self_) {
+    return aState.leaving_;
+  }
+  const auto progress = aState.progress_.find(aHost);
+  return progress != aState.progress_.end() && progress->second.leaving_;
 }
 
-//! The first unresponsive voter, or empty.
-HostId
-FindUnresponsiveVoter(const ConsensusState& aState, Instant aNow)
+//! The voters that should be replaced: first those that do not answer, which
+//! may be gone, then those that are to stop.
+std::vector<HostId>
+ListOutgoingVoters(const ConsensusState& aState)
 {
+  std::vector<HostId> outgoing;
   for (const HostId& host : Members(aState).voters()) {
-    if (IsUnresponsive(aState, host, aNow)) {
-      return host;
+    if (IsUnresponsive(aState, host) || IsLeaving(aState, host)) {
+      outgoing.push_back(host);
     }
   }
-  return {};
+  std::ranges::stable_partition(outgoing, [&](const HostId& aHost) {
+    return IsUnresponsive(aState, aHost);
+  });
+  return outgoing;
+}
+
+std::vector<HostId>
+ListReadyLearners(const ConsensusState& aState, Instant aNow)
+{
+  std::vector<HostId> ready;
+  for (const HostId& host : Members(aState).learners()) {
+    if (CheckAddedHost(aState, host, aNow) == ChangeRefusal::None) {
+      ready.push_back(host);
+    }
+  }
+  return ready;
+}
+
+//! The strongest reason why no learner is ready.
+ChangeRefusal
+ExplainNoLearner(const ConsensusState& aState, Instant aNow)
+{
+  ChangeRefusal refusal = ChangeRefusal::NoLearner;
+  for (const HostId& host : Members(aState).learners()) {
+    refusal = std::max(refusal, CheckAddedHost(aState, host, aNow));
+  }
+  return refusal;
 }
 
 void
@@ -77,48 +119,103 @@
   return plan;
 }
 
-bool
-HasReadyLearner(const ConsensusState& aState, Instant aNow)
+void
+Promote(wire::MemberChange& aMembers, const HostId& aHost)
 {
-  return std::ranges::any_of(
-    Members(aState).learners(), [&](const HostId& aHost) {
-      return CheckAddedHost(aState, aHost, aNow) == ChangeRefusal::None;
-    });
+  Erase(*aMembers.mutable_learners(), aHost);
+  aMembers.add_voters(aHost);
 }
 
-//! Promotes the first learner that may become a voter.
+//! A demoted voter stays a learner, so that it can become a voter again.
+void
+Demote(wire::MemberChange& aMembers, const HostId& aHost)
+{
+  Erase(*aMembers.mutable_voters(), aHost);
+  aMembers.add_learners(aHost);
+}
+
+//! A step to these members if the checks allow it. A step that changes more
+//! than one voter names the present ones as outgoing.
 MemberPlan
-PlanPromotion(const ConsensusState& aState, Instant aNow)
+MakeStep(const ConsensusState& aState,
+         MemberStep aStep,
+         const HostId& aHost,
+         wire::MemberChange aMembers,
+         std::size_t aChangedVoters,
+         Instant aNow)
 {
+  if (aChangedVoters > 1) {
+    *aMembers.mutable_outgoing_voters() = Members(aState).voters();
+  }
   MemberPlan plan;
-  plan.refusal_ = ChangeRefusal::NoLearner;
-  for (const HostId& host : Members(aState).learners()) {
-    wire::MemberChange members = Members(aState);
-    Erase(*members.mutable_learners(), host);
-    members.add_voters(host);
-    const ChangeRefusal refusal = CheckChange(aState, members, aNow);
-    if (refusal == ChangeRefusal::None) {
-      return { MemberStep::PromoteLearner, members, host };
-    }
-    plan.refusal_ = std::max(plan.refusal_, refusal);
+  plan.refusal_ = CheckChange(aState, aMembers, aNow);
+  if (plan.refusal_ == ChangeRefusal::None) {
+    plan = { aStep, std::move(aMembers), aHost };
   }
   return plan;
 }
 
-//! Demotes a voter to a learner, so that it can become a voter again when it
-//! returns.
+//! Replaces as many voters as learners are ready for.
 MemberPlan
-PlanDemotion(const ConsensusState& aState, const HostId& aHost, Instant aNow)
+PlanReplacement(const ConsensusState& aState,
+                std::span<const HostId> aOutgoing,
+                std::span<const HostId> aReady,
+                Instant aNow)
 {
   wire::MemberChange members = Members(aState);
-  Erase(*members.mutable_voters(), aHost);
-  members.add_learners(aHost);
-  MemberPlan plan;
-  plan.refusal_ = CheckChange(aState, members, aNow);
-  if (plan.refusal_ == ChangeRefusal::None) {
-    plan = { MemberStep::DemoteVoter, members, aHost };
+  const std::size_t count = std::min(aOutgoing.size(), aReady.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    Demote(members, aOutgoing[i]);
+    Promote(members, aReady[i]);
   }
-  return plan;
+  return MakeStep(aState,
+                  MemberStep::ReplaceVoters,
+                  aReady.front(),
+                  std::move(members),
+                  2 * count,
+                  aNow);
+}
+
+//! Adds up to aCount voters.
+MemberPlan
+PlanPromotion(const ConsensusState& aState,
+              std::span<const HostId> aReady,
+              std::size_t aCount,
+              Instant aNow)
+{
+  wire::MemberChange members = Members(aState);
+  const std::size_t count = std::min(aCount, aReady.size());
+  for (const HostId& host : aReady.first(count)) {
+    Promote(members, host);
+  }
+  return MakeStep(aState,
+                  MemberStep::PromoteLearners,
+                  aReady.front(),
+                  std::move(members),
+                  count,
+                  aNow);
+}
+
+MemberPlan
+PlanDemotion(const ConsensusState& aState, const HostId& aHost, Instant aNow)
+{
+  wire::MemberChange members = Members(aState);
+  Demote(members, aHost);
+  return MakeStep(
+    aState, MemberStep::DemoteVoter, aHost, std::move(members), 1, aNow);
+}
+
+//! Fills the places that are free. A member of a former version can't take part
+//! in a change of several voters, so that one is added at a time then.
+MemberPlan
+PlanGrowth(const ConsensusState& aState,
+           std::span<const HostId> aReady,
+           std::size_t aMissing,
+           Instant aNow)
+{
+  MemberPlan plan = PlanPromotion(aState, aReady, aMissing, aNow);
+  const bool single = plan.refusal_ == ChangeRefusal::EarlierVersion;
+  return single ? PlanPromotion(aState, aReady, 1, aNow) : plan;
 }
 
 //! Removes one learner that has been silent for kLearnerTimeoutMs and is no
@@ -150,7 +247,7 @@
 PlanStep(const ConsensusState& aState,
          std::span<const MemberCandidate> aLive,
          std::size_t aVoters,
-         const HostId& aUnresponsive,
+         std::span<const HostId> aOutgoing,
          Instant aNow)
 {
   MemberPlan learners = PlanLearners(aState, aLive);
@@ -158,21 +255,20 @@
     return learners;
   }
   const auto voters = static_cast<std::size_t>(Members(aState).voters_size());
-  const bool replaces = !aUnresponsive.empty();
-  if (replaces && voters > aVoters) {
-    return PlanDemotion(aState, aUnresponsive, aNow);
+  if (voters > aVoters && !aOutgoing.empty()) {
+    return PlanDemotion(aState, aOutgoing.front(), aNow);
   }
-  if (voters >= aVoters && !replaces) {
+  if (voters >= aVoters && aOutgoing.empty()) {
     return PlanRemoval(aState, aLive, aNow);
   }
-  // An odd number of voters and one less have the same quorum, and so do an
-  // even number and one more. In this order no step needs the answer of a host
-  // that isn't a voter yet.
-  const bool demotesFirst = replaces && voters % 2 == 1 && voters >= kMinVoters;
-  if (demotesFirst && HasReadyLearner(aState, aNow)) {
-    return PlanDemotion(aState, aUnresponsive, aNow);
+  const std::vector<HostId> ready = ListReadyLearners(aState, aNow);
+  if (ready.empty()) {
+    MemberPlan plan;
+    plan.refusal_ = ExplainNoLearner(aState, aNow);
+    return plan;
   }
-  return PlanPromotion(aState, aNow);
+  return aOutgoing.empty() ? PlanGrowth(aState, ready, aVoters - voters, aNow)
+                           : PlanReplacement(aState, aOutgoing, ready, aNow);
 }
 
 } // namespace
@@ -183,16 +279,26 @@
             std::size_t aVoters,
             Instant aNow)
 {
-  if (!HoldsLease(aState, aNow) ||
+  if (!HoldsLease(aState, aNow) || IsJoint(Members(aState)) ||
       aState.log_.members_.back().first > aState.commitIndex_) {
     return {};
   }
-  const HostId unresponsive = FindUnresponsiveVoter(aState, aNow);
-  MemberPlan plan = PlanStep(aState, aLive, aVoters, unresponsive, aNow);
-  plan.unresponsive_ = unresponsive;
+  const std::vector<HostId> outgoing = ListOutgoingVoters(aState);
+  MemberPlan plan = PlanStep(aState, aLive, aVoters, outgoing, aNow);
+  plan.outgoing_ = outgoing.empty() ? HostId() : outgoing.front();
   return plan;
 }
 
+bool
+HasWantedQuorum(const wire::MemberChange& aMembers, std::size_t aWanted)
+{
+  bool enough = true;
+  ForEachVoterSet(aMembers, [&](const HostList& aVoters) {
+    enough = enough && QuorumSize(aVoters.size()) >= QuorumSize(aWanted);
+  });
+  return enough;
+}
+
 std::string_view
 ToText(MemberStep aStep)
 {
@@ -201,8 +307,10 @@
       return "none";
     case MemberStep::AddLearners:
       return "add-learners";
-    case MemberStep::PromoteLearner:
-      return "promote-learner";
+    case MemberStep::PromoteLearners:
+      return "promote-learners";
+    case MemberStep::ReplaceVoters:
+      return "replace-voters";
     case MemberStep::DemoteVoter:
       return "demote-voter";
     case MemberStep::RemoveLearner:
@@ -221,6 +329,8 @@
       return "the previous change is not committed";
     case ChangeRefusal::NotOneStep:
       return "more than one voter would change";
+    case ChangeRefusal::EarlierVersion:
+      return "a voter runs an earlier version";
     case ChangeRefusal::NoLearner:
       return "no other host has persistent storage";
     case ChangeRefusal::AddedHostSilent:
--- a/packages/core/consensus/memberplan.h
+++ b/packages/core/consensus/memberplan.h
@@ -9,10 +9,10 @@
 
 namespace wigeonlb::core::consensus {
 
-//! A voter that has not answered the leader for this time is replaced if
-//! another host is available. Longer than a host needs to restart.
-constexpr foundation::Duration kVoterTimeoutMs =
-  std::chrono::milliseconds(2500);
+//! A voter that has not answered the leader for this time is replaced if a
+//! learner is ready: as long as members wait for a leader. Until then, the loss
+//! of another disk stops the group if the voter never returns.
+constexpr foundation::Duration kVoterTimeoutMs = std::chrono::milliseconds(550);
 
 //! A learner that has not answered the leader for this time, and is no live
 //! host, is removed. Should it return, it becomes a learner again, if it finds
@@ -44,7 +44,8 @@
 {
   None,
   AddLearners,
-  PromoteLearner,
+  PromoteLearners,
+  ReplaceVoters,
   DemoteVoter,
   RemoveLearner,
 };
@@ -54,27 +55,27 @@
 {
   MemberStep step_ = MemberStep::None;
   wire::MemberChange members_; //!< the members after the step
-  foundation::HostId host_;    //!< promoted, demoted or removed
-  //! A voter that has been unresponsive for kVoterTimeoutMs, or empty.
-  foundation::HostId unresponsive_;
+  foundation::HostId host_;    //!< the first one promoted, demoted or removed
+  //! The first voter to be replaced: it has not answered for kVoterTimeoutMs,
+  //! or is to stop. Empty if there is none.
+  foundation::HostId outgoing_;
   //! Without a step: why a voter is neither replaced nor added. Of several
   //! learners, the refusal of the one that is closest to becoming a voter.
   ChangeRefusal refusal_ = ChangeRefusal::None;
 };
 
 //! True if these voters have a quorum that is as large as that of the wanted
-//! number of voters: what they commit is on as many disks.
-constexpr bool
-HasWantedQuorum(std::size_t aVoters, std::size_t aWanted)
-{
-  return aVoters / 2 >= aWanted / 2;
-}
+//! number of voters: what they commit is on as many disks. During a change of
+//! members the outgoing voters need one, too.
+bool
+HasWantedQuorum(const wire::MemberChange& aMembers, std::size_t aWanted);
 
 //! The leader's next membership change towards aVoters responsive voters. A
-//! live host that is not a member becomes a learner. Once a learner has caught
-//! up, an unresponsive voter becomes a learner, and then the learner a voter. A
-//! learner that has been silent for kLearnerTimeoutMs is removed, with its
-//! address, once no other step is due.
+//! live host that is not a member becomes a learner. Once learners have caught
+//! up, they take the places of voters that are silent or to stop, in one change
+//! that needs quorums of the voters before and after it, and then the places
+//! that are still free. A learner that has been silent for kLearnerTimeoutMs is
+//! removed, with its address, once no other step is due.
 MemberPlan
 PlanMembers(const ConsensusState& aState,
             std::span<const MemberCandidate> aLive,
--- a/packages/core/consensus/memberstanding.cpp
+++ b/packages/core/consensus/memberstanding.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/consensus/internal/quorum.h"
 #include "core/consensus/internal/replication.h"
 
 namespace wigeonlb::core::consensus {
@@ -105,19 +106,38 @@
     std::ranges::count(aMembers, aStanding, &MemberStatus::standing_));
 }
 
+//! The standing of one set of voters.
 QuorumStanding
-SumUp(const ConsensusState& aState, const std::vector<MemberStatus>& aMembers)
+JudgeVoterSet(const std::vector<MemberStatus>& aMembers,
+              const HostList& aVoters)
 {
-  const wire::MemberChange& members = Members(aState);
   QuorumStanding quorum;
-  quorum.voters_ = members.voters_size();
-  quorum.quorumSize_ = static_cast<int>(QuorumSize(aState));
+  quorum.voters_ = aVoters.size();
+  quorum.quorumSize_ = static_cast<int>(QuorumSize(aVoters.size()));
   // A leader that a change removes leads until the change is committed.
-  const bool leaderVotes = IsVoter(members, aState.settings_.self_);
-  quorum.countingVoters_ =
-    Count(aMembers, MemberStanding::CountingVoter) + (leaderVotes ? 1 : 0);
-  quorum.caughtUpLearners_ = Count(aMembers, MemberStanding::CaughtUpLearner);
+  quorum.countingVoters_ = static_cast<int>(
+    std::ranges::count_if(aMembers, [&](const MemberStatus& aStatus) {
+      const bool counts = aStatus.standing_ == MemberStanding::CountingVoter ||
+                          aStatus.standing_ == MemberStanding::Leader;
+      return counts &&
+             std::ranges::find(aVoters, aStatus.host_) != aVoters.end();
+    }));
   quorum.mayLose_ = quorum.countingVoters_ - quorum.quorumSize_;
+  return quorum;
+}
+
+//! During a change of members, the totals are those of the set of voters of
+//! which the fewest may be lost.
+QuorumStanding
+SumUp(const ConsensusState& aState, const std::vector<MemberStatus>& aMembers)
+{
+  std::vector<QuorumStanding> sets;
+  ForEachVoterSet(Members(aState), [&](const HostList& aVoters) {
+    sets.push_back(JudgeVoterSet(aMembers, aVoters));
+  });
+  QuorumStanding quorum =
+    *std::ranges::min_element(sets, {}, &QuorumStanding::mayLose_);
+  quorum.caughtUpLearners_ = Count(aMembers, MemberStanding::CaughtUpLearner);
   quorum.settled_ = Count(aMembers, MemberStanding::Voter) == 0;
   return quorum;
 }
@@ -135,7 +155,8 @@
     overview.members_.push_back(DescribeMember(aState, host, true, aNow));
   }
   for (const HostId& host : members.learners()) {
-    overview.members_.push_back(DescribeMember(aState, host, false, aNow));
+    overview.members_.push_back(
+      DescribeMember(aState, host, IsVoter(members, host), aNow));
   }
   if (IsLeader(aState)) {
     overview.quorum_ = SumUp(aState, overview.members_);
--- a/packages/core/consensus/replicatedlog.cpp
+++ b/packages/core/consensus/replicatedlog.cpp
@@ -125,10 +125,47 @@
   return found->second;
 }
 
+bool
+IsJoint(const wire::MemberChange& aMembers)
+{
+  return !aMembers.outgoing_voters().empty();
+}
+
+std::uint64_t
+GetVotingIncarnation(const ReplicatedLog& aLog, std::string_view aHost)
+{
+  const auto& history = aLog.members_;
+  const wire::MemberChange& latest = history.back().second;
+  if (!IsVoter(latest, aHost)) {
+    return 0;
+  }
+  const std::uint64_t admitted = GetAdmittedIncarnation(latest, aHost);
+  if (history.size() == 1) {
+    return admitted;
+  }
+  // A change is proposed only once the one before it is committed.
+  const wire::MemberChange& before = history[history.size() - 2].second;
+  const bool stays = IsVoter(before, aHost);
+  const bool readmitted =
+    stays && GetAdmittedIncarnation(before, aHost) != admitted;
+  return readmitted ? 0 : admitted;
+}
+
+std::uint64_t
+GetAdmittedIncarnation(const wire::MemberChange& aMembers,
+                       std::string_view aHost)
+{
+  const auto found = aMembers.incarnations().find(std::string(aHost));
+  return found == aMembers.incarnations().end() ? 0 : found->second;
+}
+
 bool
 IsVoter(const wire::MemberChange& aMembers, std::string_view aHost)
 {
-  return std::ranges::find(aMembers.voters(), aHost) != aMembers.voters().end();
+  const auto lists = { &aMembers.voters(), &aMembers.outgoing_voters() };
+  return std::ranges::any_of(lists, [&](const auto* aList) {
+    return std::ranges::find(*aList, aHost) != aList->end();
+  });
 }
 
 } // namespace wigeonlb::core::consensus
--- a/packages/core/consensus/replicatedlog.h
+++ b/packages/core/consensus/replicatedlog.h
@@ -77,7 +77,26 @@
 const wire::MemberChange&
 MembersAt(const ReplicatedLog& aLog, std::uint64_t aIndex);
 
-//! True if the member is a voter.
+//! True while a change of members is under way: each decision needs a quorum of
+//! the outgoing voters as well.
+bool
+IsJoint(const wire::MemberChange& aMembers);
+
+//! The incarnation with which a host may vote for a member with this log even
+//! if its own log does not admit it yet; zero if there is none. Either the
+//! latest change adds it as a voter, so that no quorum of an earlier
+//! incarnation can elect anyone any more, or the change before, which is
+//! committed, admits it.
+std::uint64_t
+GetVotingIncarnation(const ReplicatedLog& aLog, std::string_view aHost);
+
+//! The incarnation with which a host is admitted; zero, the incarnation of the
+//! founders, if none is listed.
+std::uint64_t
+GetAdmittedIncarnation(const wire::MemberChange& aMembers,
+                       std::string_view aHost);
+
+//! True if the member is a voter, or an outgoing one.
 bool
 IsVoter(const wire::MemberChange& aMembers, std::string_view aHost);
 
--- a/packages/core/consensus/tests/memberplan_tests.cpp
+++ b/packages/core/consensus/tests/memberplan_tests.cpp
@@ -42,8 +42,12 @@
   //! Sets the time since the last answer of a host that has the whole log.
   void SetLastAnswer(const HostId& aHost, foundation::Duration aAgo)
   {
-    state_.progress_[aHost].answeredSentAt_ = kNow - aAgo;
-    state_.progress_[aHost].match_ = 1;
+    Progress& progress = state_.progress_[aHost];
+    progress.answeredSentAt_ = kNow - aAgo;
+    progress.unansweredRounds_ =
+      static_cast<int>(aAgo / state_.settings_.heartbeatInterval_) + 1;
+    progress.match_ = 1;
+    progress.jointQuorums_ = true;
   }
 
   void AddLearner(const HostId& aHost, bool aCaughtUp)
@@ -71,6 +75,12 @@
   for (const auto& host : aPlan.members_.learners()) {
     text += host;
   }
+  if (IsJoint(aPlan.members_)) {
+    text += "/";
+  }
+  for (const auto& host : aPlan.members_.outgoing_voters()) {
+    text += host;
+  }
   return text;
 }
 
@@ -85,22 +95,52 @@
     std::vector<std::pair<HostId, bool>> learners_;
     std::vector<HostId> unresponsive_;
     std::size_t voters_;
-    std::string step_; //!< expected voters and learners
+    std::string step_; //!< expected voters, learners and outgoing voters
+    std::vector<HostId> leaving_;
+    std::vector<HostId> earlierVersion_;
   };
   const auto row = GENERATE(values<Row>({
     { { "a", "b", "c" }, {}, {}, 3, "none" },
     { { "a", "b", "c", "d" }, {}, {}, 3, "abc/d" },
     { { "a", "b", "c", "d" }, { { "d", true } }, {}, 3, "none" },
-    { { "a", "b", "d" }, { { "d", true } }, { "c" }, 3, "ab/dc" },
-    { { "a", "b", "d" }, { { "d", true } }, { "c" }, 5, "ab/dc" },
+    // A voter and its successor change places in one change.
+    { { "a", "b", "d" }, { { "d", true } }, { "c" }, 3, "abd/c/abc" },
+    { { "a", "b", "d" }, { { "d", true } }, { "c" }, 5, "abd/c/abc" },
     { { "a", "b", "d" }, { { "d", false } }, { "c" }, 3, "none" },
     { { "a", "b" }, {}, { "c" }, 3, "none" },
     { { "a", "b", "c", "d", "e" },
       { { "d", true }, { "e", true } },
       {},
       5,
-      "abcd/e" },
+      "abcde//abc" },
+    { { "a", "b", "c", "d" }, { { "d", true } }, {}, 5, "abcd/" },
     { { "a", "b" }, {}, { "c" }, 2, "ab/c" },
+    // One that is to stop hands its vote over, the leader too.
+    { { "a", "b", "c", "d" }, { { "d", true } }, {}, 3, "acd/b/abc", { "b" } },
+    { { "a", "b", "c", "d" }, { { "d", true } }, {}, 3, "bcd/a/abc", { "a" } },
+    { { "a", "b", "c" }, {}, {}, 3, "none", { "b" } },
+    { { "a", "b", "c", "d" }, { { "d", true } }, {}, 3, "none", { "d" } },
+    { { "a", "b", "c", "d" }, { { "d", true } }, {}, 3, "none", { "b", "d" } },
+    // Of two, the one that may be gone is replaced first.
+    { { "a", "c", "d" }, { { "d", true } }, { "c" }, 3, "abd/c/abc", { "b" } },
+    // Members of an earlier version would count quorums wrongly, but one that
+    // does not answer is not asked.
+    { { "a", "b", "d" }, { { "d", true } }, { "c" }, 3, "none", {}, { "b" } },
+    { { "a", "b", "d" }, { { "d", true } }, { "c" }, 3, "none", {}, { "d" } },
+    { { "a", "b", "d" },
+      { { "d", true } },
+      { "c" },
+      3,
+      "abd/c/abc",
+      {},
+      { "c" } },
+    { { "a", "b", "c", "d", "e" },
+      { { "d", true }, { "e", true } },
+      {},
+      5,
+      "abcd/e",
+      {},
+      { "b" } },
   }));
   Fixture fixture;
   for (const auto& [host, caughtUp] : row.learners_) {
@@ -109,6 +149,13 @@
   for (const auto& host : row.unresponsive_) {
     fixture.SetLastAnswer(host, kVoterTimeoutMs);
   }
+  for (const auto& host : row.leaving_) {
+    fixture.state_.leaving_ = fixture.state_.leaving_ || host == "a";
+    fixture.state_.progress_[host].leaving_ = true;
+  }
+  for (const auto& host : row.earlierVersion_) {
+    fixture.state_.progress_[host].jointQuorums_ = false;
+  }
   std::vector<MemberCandidate> live;
   for (const auto& host : row.live_) {
     live.push_back({ host, host + ":1" });
@@ -133,7 +180,7 @@
     { kLearnerTimeoutMs, false, false, "abc/d" },
     { kLearnerTimeoutMs, true, false, "none" },
     // The voter is replaced first.
-    { kLearnerTimeoutMs, false, true, "ab/dec" },
+    { kLearnerTimeoutMs, false, true, "abd/ec/abc" },
   }));
   Fixture fixture;
   fixture.state_.leadingSince_ = kNow - 2 * kLearnerTimeoutMs;
@@ -189,15 +236,63 @@
   CHECK(ToText(PlanMembers(fixture.state_, {}, 3, kNow)) == "none");
 }
 
-TEST_CASE("a demoted voter's place is taken by a learner with an empty disk",
-          "[consensus][members]")
+// Guards against a moment between two steps in which the group has fewer voters
+// than it needs (issue 54).
+TEST_CASE(
+  "a voter's place is taken by a learner with an empty disk in one change",
+  "[consensus][members]")
 {
   Fixture fixture;
   fixture.AddLearner("d", true);
   fixture.SetLastAnswer("c", kVoterTimeoutMs);
-  const auto demotion = PlanMembers(fixture.state_, {}, 3, kNow);
-  fixture.state_.log_.members_.back().second = demotion.members_;
-  CHECK(ToText(PlanMembers(fixture.state_, {}, 3, kNow)) == "abd/c");
+  const MemberPlan plan = PlanMembers(fixture.state_, {}, 3, kNow);
+  CHECK(ToText(plan) == "abd/c/abc");
+  CHECK(HasWantedQuorum(plan.members_, 3));
+  // No other change before this one is complete.
+  fixture.state_.log_.members_.back().second = plan.members_;
+  CHECK(ToText(PlanMembers(fixture.state_, {}, 3, kNow)) == "none");
+}
+
+TEST_CASE("a leader that was held up itself replaces nobody",
+          "[consensus][members]")
+{
+  Fixture fixture;
+  fixture.AddLearner("d", true);
+  fixture.SetLastAnswer("c", 10s);
+  fixture.state_.progress_["c"].unansweredRounds_ = 1;
+  CHECK(ToText(PlanMembers(fixture.state_, {}, 3, kNow)) == "none");
+}
+
+// Guards against a successor that missed the change which adds it and stays out
+// of elections after the next one (issue 54).
+TEST_CASE("a recovering host votes by a change that is known to be committed",
+          "[consensus][members]")
+{
+  struct Row
+  {
+    std::vector<std::uint64_t> admitted_; //!< by each change; 0: not a voter
+    std::uint64_t voting_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { { 0 }, 0 },
+    { { 7 }, 7 },
+    { { 0, 7 }, 7 },    // added by the latest change
+    { { 0, 7, 7 }, 7 }, // added before, and kept
+    { { 7, 0 }, 0 },
+    { { 7, 8 }, 0 }, // readmitted by a change that may not be committed
+    { { 7, 8, 8 }, 8 },
+  }));
+  ReplicatedLog log;
+  for (const std::uint64_t incarnation : row.admitted_) {
+    wire::MemberChange members;
+    members.add_voters("a");
+    if (incarnation != 0) {
+      members.add_voters("d");
+      (*members.mutable_incarnations())["d"] = incarnation;
+    }
+    log.members_.emplace_back(log.members_.size(), members);
+  }
+  CHECK(GetVotingIncarnation(log, "d") == row.voting_);
 }
 
 TEST_CASE("a quorum on as many disks as the wanted one is enough",
@@ -210,7 +305,14 @@
                                                      { 4, 3, true },
                                                      { 3, 5, false },
                                                      { 4, 5, true } }));
-  CHECK(HasWantedQuorum(voters, wanted) == enough);
+  wire::MemberChange members;
+  for (std::size_t i = 0; i < voters; ++i) {
+    members.add_voters(std::to_string(i));
+  }
+  CHECK(HasWantedQuorum(members, wanted) == enough);
+  // The outgoing voters need one, too.
+  members.add_outgoing_voters("0");
+  CHECK_FALSE(HasWantedQuorum(members, wanted));
 }
 
 TEST_CASE("an uncommitted change delays the next one", "[consensus][members]")
--- a/packages/core/consensus/tests/networkschedules.cpp
+++ b/packages/core/consensus/tests/networkschedules.cpp
@@ -28,6 +28,27 @@
   }
 }
 
+// A voter and a learner change places, if there is one.
+void
+ReplaceVoter(SimulatedNetwork& aNetwork)
+{
+  const HostId leader = Leader(aNetwork);
+  if (leader.empty()) {
+    return;
+  }
+  wire::ControlRecord record;
+  auto& members = *record.mutable_members();
+  members = Members(aNetwork.members_[leader].consensus_);
+  if (members.learners().empty() || IsJoint(members)) {
+    return;
+  }
+  *members.mutable_outgoing_voters() = members.voters();
+  const int number =
+    static_cast<int>(aNetwork.random_() % members.voters_size());
+  members.mutable_voters(number)->swap(*members.mutable_learners(0));
+  Feed(aNetwork, leader, Propose{ record, 3 });
+}
+
 // Moves a host to the next of the states: no member, learner, voter.
 void
 ChangeMembers(SimulatedNetwork& aNetwork)
@@ -196,6 +217,9 @@
     if (i > 4 && i % 4 == 0 && aFaults.changesMembers_) {
       ChangeMembers(network);
     }
+    if (i > 4 && i % 4 == 2 && aFaults.changesMembers_) {
+      ReplaceVoter(network);
+    }
   }
   Settle(network);
   if (!network.committed_.empty()) {
--- a/packages/core/consensus/tests/powerloss_tests.cpp
+++ b/packages/core/consensus/tests/powerloss_tests.cpp
@@ -288,7 +288,7 @@
     { "stopped voter, promotion pending",
       Beginning::Stop,
       Moment::PromotionPending },
-    { "stopped voter, demoted", Beginning::Stop, Moment::Demoted },
+    { "stopped voter, replacing", Beginning::Stop, Moment::Replacing },
     { "stopped voter, promotion pending, another disk",
       Beginning::Stop,
       Moment::PromotionPending,
@@ -374,20 +374,26 @@
   CheckCase(row);
 }
 
-// Listed in KNOWN-RED.txt.
-TEST_CASE("one disk that is lost with the power while a stopped voter has no "
-          "successor yet stops nothing",
-          "[.][demotedloss]")
+// Guards against a group that waits for ever for a blank member, whose
+// readmission needs it: a lost disk beside a voter that only stood still
+// (issues 44 and 54).
+TEST_CASE("one disk that is lost with the power while a stopped voter is "
+          "replaced stops nothing",
+          "[consensus][powerloss][demotedloss]")
 {
   const auto row = GENERATE(values<Case>({
-    { "stopped voter, demoted, leader's disk",
+    { "stopped voter, replacing, leader's disk",
       Beginning::Stop,
-      Moment::Demoted,
+      Moment::Replacing,
       Loss::Leader },
-    { "stopped voter, demoted, another disk",
+    { "stopped voter, replacing, another disk",
       Beginning::Stop,
-      Moment::Demoted,
+      Moment::Replacing,
       Loss::Voter },
+    { "stopped voter, replacing, the successor's disk",
+      Beginning::Stop,
+      Moment::Replacing,
+      Loss::Newcomer },
     { "stopped voter, promotion pending, leader's disk",
       Beginning::Stop,
       Moment::PromotionPending,
--- a/packages/core/consensus/tests/replacement_tests.cpp
+++ b/packages/core/consensus/tests/replacement_tests.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "core/consensus/memberplan.h"
-#include "core/consensus/tests/networkschedules.h"
+#include "core/consensus/tests/plannednetwork.h"
 
 namespace wigeonlb::core::consensus {
 
@@ -13,115 +13,19 @@
 using foundation::HostId;
 using namespace std::chrono_literals;
 
-//! Time between two plans of the leader.
-constexpr Duration kPlanIntervalMs = 200ms;
-
-//! Time between two changes of an operator.
-constexpr Duration kChangeIntervalMs = 1000ms;
-
 //! A lost voter is replaced within this time: the time after which it counts as
 //! lost, an election, and as long again for messages that are lost on the way.
 constexpr Duration kReplacementLimitMs = 2 * (kVoterTimeoutMs + 1000ms);
 
-//! Hosts that are lost for good and hosts that come with empty disks.
-struct Replacement
-{
-  SimulatedNetwork network_;
-  std::set<HostId> gone_;
-  std::size_t wantedVoters_ = 3;
-  int newcomers_ = 0;
-  foundation::Instant changeDue_;
-};
-
-//! Starts a host with an empty disk under a name that was never used.
-HostId
-AddHost(Replacement& aReplacement)
-{
-  const HostId host = "n" + std::to_string(++aReplacement.newcomers_);
-  Start(aReplacement.network_, host);
-  return host;
-}
-
-void
-LoseHost(Replacement& aReplacement, const HostId& aHost)
-{
-  LoseDisk(aReplacement.network_, aHost);
-  aReplacement.gone_.insert(aHost);
-}
-
-void
-ProposeStep(Replacement& aReplacement)
-{
-  SimulatedNetwork& network = aReplacement.network_;
-  const HostId leader = Leader(network);
-  if (leader.empty()) {
-    return;
-  }
-  std::vector<MemberCandidate> live;
-  for (const auto& [host, member] : network.members_) {
-    if (member.up_) {
-      live.push_back({ host, host + ":1" });
-    }
-  }
-  const MemberPlan plan = PlanMembers(network.members_[leader].consensus_,
-                                      live,
-                                      aReplacement.wantedVoters_,
-                                      network.now_);
-  if (plan.step_ != MemberStep::None) {
-    wire::ControlRecord record;
-    *record.mutable_members() = plan.members_;
-    Feed(network, leader, Propose{ record, 3 });
-  }
-}
-
-void
-RunPlanned(Replacement& aReplacement, Duration aTime)
-{
-  const foundation::Instant end = aReplacement.network_.now_ + aTime;
-  while (aReplacement.network_.now_ < end) {
-    Run(aReplacement.network_, kPlanIntervalMs);
-    ProposeStep(aReplacement);
-    if (aReplacement.network_.now_ >= aReplacement.changeDue_) {
-      aReplacement.changeDue_ = aReplacement.network_.now_ + kChangeIntervalMs;
-      RunOperators(aReplacement.network_);
-    }
-  }
-}
-
-//! The voters according to the leader, or none without a leader.
-std::vector<HostId>
-ListVoters(Replacement& aReplacement)
-{
-  const HostId leader = Leader(aReplacement.network_);
-  if (leader.empty()) {
-    return {};
-  }
-  const auto& members =
-    Members(aReplacement.network_.members_[leader].consensus_);
-  return { members.voters().begin(), members.voters().end() };
-}
-
-//! True if the wanted number of voters is there, and each is up and counts.
-bool
-IsWhole(Replacement& aReplacement)
-{
-  const std::vector<HostId> voters = ListVoters(aReplacement);
-  return voters.size() == aReplacement.wantedVoters_ &&
-         std::ranges::all_of(voters, [&](const HostId& aHost) {
-           const Member& member = aReplacement.network_.members_[aHost];
-           return member.up_ && !IsRecovering(member.consensus_);
-         });
-}
-
 //! Runs until IsWhole, or for aLimit. Returns whether it is whole.
 bool
-Await(Replacement& aReplacement, Duration aLimit)
+Await(PlannedNetwork& aPlanned, Duration aLimit)
 {
-  const foundation::Instant end = aReplacement.network_.now_ + aLimit;
-  while (!IsWhole(aReplacement) && aReplacement.network_.now_ < end) {
-    RunPlanned(aReplacement, kPlanIntervalMs);
+  const foundation::Instant end = aPlanned.network_.now_ + aLimit;
+  while (!IsWhole(aPlanned) && aPlanned.network_.now_ < end) {
+    RunPlanned(aPlanned, kPlanIntervalMs);
   }
-  return IsWhole(aReplacement);
+  return IsWhole(aPlanned);
 }
 
 //! A number of voters, and how hosts are lost.
@@ -139,7 +43,7 @@
   bool losesLeader_ = false;
 };
 
-Replacement
+PlannedNetwork
 Found(const Case& aCase, std::uint64_t aSeed)
 {
   NetworkSettings settings;
@@ -147,7 +51,7 @@
   settings.members_ = aCase.voters_;
   settings.lossPercent_ = static_cast<int>(aSeed % 10);
   settings.smallParts_ = false;
-  Replacement replacement;
+  PlannedNetwork replacement;
   replacement.network_ = MakeNetwork(settings);
   replacement.wantedVoters_ = static_cast<std::size_t>(aCase.voters_);
   RunPlanned(replacement, 3s);
@@ -155,63 +59,62 @@
 }
 
 void
-LoseVoters(Replacement& aReplacement, const Case& aCase)
+LoseVoters(PlannedNetwork& aPlanned, const Case& aCase)
 {
-  std::vector<HostId> voters = ListVoters(aReplacement);
-  const HostId leader = Leader(aReplacement.network_);
+  std::vector<HostId> voters = ListVoters(aPlanned);
+  const HostId leader = Leader(aPlanned.network_);
   for (int i = 0; i < aCase.lostAtOnce_ && !voters.empty(); ++i) {
-    const std::size_t pick = aReplacement.network_.random_() % voters.size();
+    const std::size_t pick = aPlanned.network_.random_() % voters.size();
     const HostId host =
       aCase.losesLeader_ && i == 0 && !leader.empty() ? leader : voters[pick];
     std::erase(voters, host);
-    LoseHost(aReplacement, host);
+    LoseHost(aPlanned, host);
   }
 }
 
 //! Newcomers come; with newcomerLostAfter_ another one for each that is lost.
 void
-AddNewcomers(Replacement& aReplacement, const Case& aCase)
+AddNewcomers(PlannedNetwork& aPlanned, const Case& aCase)
 {
   std::vector<HostId> newcomers;
   newcomers.reserve(aCase.lostAtOnce_);
   for (int i = 0; i < aCase.lostAtOnce_; ++i) {
-    newcomers.push_back(AddHost(aReplacement));
+    newcomers.push_back(AddHost(aPlanned));
   }
   if (aCase.newcomerLostAfter_ == Duration(0)) {
     return;
   }
-  RunPlanned(aReplacement, aCase.newcomerLostAfter_);
+  RunPlanned(aPlanned, aCase.newcomerLostAfter_);
   for (const HostId& host : newcomers) {
-    LoseHost(aReplacement, host);
+    LoseHost(aPlanned, host);
   }
-  RunPlanned(aReplacement, kVoterTimeoutMs);
+  RunPlanned(aPlanned, kVoterTimeoutMs);
   for (std::size_t i = 0; i < newcomers.size(); ++i) {
-    AddHost(aReplacement);
+    AddHost(aPlanned);
   }
 }
 
 void
-WipeVoter(Replacement& aReplacement)
+WipeVoter(PlannedNetwork& aPlanned)
 {
-  const std::vector<HostId> voters = ListVoters(aReplacement);
-  const HostId& host = voters[aReplacement.network_.random_() % voters.size()];
-  LoseDisk(aReplacement.network_, host);
-  RunPlanned(aReplacement, 400ms);
-  Start(aReplacement.network_, host);
+  const std::vector<HostId> voters = ListVoters(aPlanned);
+  const HostId& host = voters[aPlanned.network_.random_() % voters.size()];
+  LoseDisk(aPlanned.network_, host);
+  RunPlanned(aPlanned, 400ms);
+  Start(aPlanned.network_, host);
 }
 
 //! The leader's view, for a failed check.
 std::string
-Describe(Replacement& aReplacement)
+Describe(PlannedNetwork& aPlanned)
 {
-  const HostId leader = Leader(aReplacement.network_);
+  const HostId leader = Leader(aPlanned.network_);
   if (leader.empty()) {
     return "no leader";
   }
-  const ConsensusState& state =
-    aReplacement.network_.members_[leader].consensus_;
-  const MemberPlan plan = PlanMembers(
-    state, {}, aReplacement.wantedVoters_, aReplacement.network_.now_);
+  const ConsensusState& state = aPlanned.network_.members_[leader].consensus_;
+  const MemberPlan plan =
+    PlanMembers(state, {}, aPlanned.wantedVoters_, aPlanned.network_.now_);
   std::string text = "leader " + leader + ", voters";
   for (const HostId& host : Members(state).voters()) {
     text += " " + host;
@@ -226,7 +129,7 @@
 std::string
 ReplaceAll(const Case& aCase, std::uint64_t aSeed)
 {
-  Replacement replacement = Found(aCase, aSeed);
+  PlannedNetwork replacement = Found(aCase, aSeed);
   const int rounds = 2 * aCase.voters_ / aCase.lostAtOnce_;
   for (int round = 0; round < rounds; ++round) {
     if (aCase.newcomerAfter_ < Duration(0)) {
--- a/packages/core/consensus/tests/storedcluster.cpp
+++ b/packages/core/consensus/tests/storedcluster.cpp
@@ -68,12 +68,12 @@
   const std::uint64_t own = known ? found->second.incarnation_ : 0;
   const bool admitted = own != 0 && Incarnation(committed, newcomer) == own;
   switch (aCluster.case_.moment_) {
-    case Moment::Demoted:
-      return committed.voters_size() < 3;
+    case Moment::Replacing:
+      return IsJoint(newest) || IsJoint(committed);
     case Moment::PromotionPending:
       return IsVoter(newest, newcomer) && !IsVoter(committed, newcomer);
     case Moment::PromotionCommitted:
-      return IsVoter(committed, newcomer);
+      return IsVoter(committed, newcomer) && !IsJoint(committed);
     case Moment::Recovering:
       return known && found->second.recovering_ &&
              found->second.readmitAt_ > 0 && !admitted;
--- a/packages/core/consensus/tests/storedcluster.h
+++ b/packages/core/consensus/tests/storedcluster.h
@@ -46,9 +46,9 @@
 //! When the power is lost: right after an acknowledgement of the leader, while
 enum class Moment
 {
-  Demoted,              //!< a stopped voter is a learner, its place is empty
+  Replacing,            //!< a change of places is in the log, not complete
   PromotionPending,     //!< a new voter is in the log, not committed
-  PromotionCommitted,   //!< the new voter is committed
+  PromotionCommitted,   //!< its change is committed and complete
   Recovering,           //!< a blank voter catches up
   ReadmissionPending,   //!< its readmission is in the log, not committed
   ReadmissionCommitted, //!< its readmission is committed
--- a/testing/harness/replacement_tests.py
+++ b/testing/harness/replacement_tests.py
@@ -438,5 +438,88 @@
     fleet.check()
 
 
+CATCH_UP_S = 4.0  # a host that starts empty counts as lost for this time
+DOWN_S = 1.0  # of a host that loses its disk
+LEADER_S = 12.0  # from the return of the last host to a leader
+FREEZE_S = 4.0
+
+
+def wipe(fleet, host):
+    """The host loses its disk and is back a moment later."""
+    host.kill()
+    host.delete_data()
+    fleet.note(f"{host.name} loses its disk")
+    time.sleep(DOWN_S)
+    host.start()
+
+
+def check_leader_returns(fleet):
+    """Changes go on beside; the leader that is known at first may be a former one."""
+    time.sleep(INTERVAL_S)
+    fleet.check_within(fleet.leader, LEADER_S, "a leader is known")
+    fleet.check_within(lambda: len(fleet.voters()) == fleet.voter_count, LEADER_S,
+                       "the wanted number of voters is there")
+
+
+def other_voter(fleet, *excluded):
+    return next(each for each in fleet.voters() if each not in excluded)
+
+
+def test_disk_lost_right_after_a_planned_replacement(system):
+    """Guards against a vote that goes with a host that stops as planned, although
+    its successor is ready (issue 54)."""
+    fleet = Fleet(system, losses=1, controls=3)
+    with UnderLoad(fleet, 24):
+        old = fleet.voters()[0]
+        newcomer = fleet.start_newcomer(old)
+        time.sleep(CATCH_UP_S)
+        stop_for_good(fleet, old)
+        wipe(fleet, other_voter(fleet, old, newcomer))
+        check_leader_returns(fleet)
+    fleet.check()
+
+
+REMOVAL_NOTICED_S = 1.6  # a voter that is gone without a word is replaced
+
+
+def test_disk_lost_after_a_removal_without_a_word(system):
+    """Guards against a successor that waits although it is ready (issue 54)."""
+    fleet = Fleet(system, losses=1, controls=3)
+    with UnderLoad(fleet, 24):
+        old = fleet.voters()[0]
+        newcomer = fleet.start_newcomer(old)
+        time.sleep(CATCH_UP_S)
+        fleet.lose(old)
+        time.sleep(REMOVAL_NOTICED_S)
+        wipe(fleet, other_voter(fleet, old, newcomer))
+        check_leader_returns(fleet)
+    fleet.check()
+
+
+def disk_lost_beside_a_frozen_voter(system, delay):
+    fleet = Fleet(system, losses=1, controls=4)
+    fleet.note(f"a disk is lost {delay} s after a voter freezes")
+    with UnderLoad(fleet, 20):
+        leader = fleet.leader()
+        frozen = other_voter(fleet, leader)
+        wiped = other_voter(fleet, leader, frozen)
+        began = time.monotonic()
+        frozen.signal(signal.SIGSTOP)
+        time.sleep(delay)
+        wipe(fleet, wiped)
+        time.sleep(max(0, began + FREEZE_S - time.monotonic()))
+        frozen.signal(signal.SIGCONT)
+        check_leader_returns(fleet)
+    fleet.check()
+
+
+def test_disk_lost_beside_a_frozen_voter(_):
+    """Guards against a group that waits for the vote of a blank member, which only
+    that group can readmit (issue 54)."""
+    for delay in (0.5, 0.65, 2.5):
+        with System() as system:
+            disk_lost_beside_a_frozen_voter(system, delay)
+
+
 if __name__ == "__main__":
     sys.exit(run_named(globals()))
