--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -339,6 +339,7 @@
   agent_->OnTick();
   submitter_->OnTick();
   AnswerChangesInForce();
+  CheckMayEnd();
   if (lastTick_ >= nextReports_) {
     nextReports_ = lastTick_ + kReportIntervalMs;
     traffic_.CollectReports();
@@ -419,7 +420,22 @@
 void
 ControlRuntime::PostDraining()
 {
-  boost::asio::post(context_, [this] { agent_->StartDraining(); });
+  boost::asio::post(context_, [this] {
+    draining_ = true;
+    agent_->StartDraining();
+    if (member_ != nullptr) {
+      member_->Feed(core::consensus::Leave{});
+    }
+    CheckMayEnd();
+  });
+}
+
+void
+ControlRuntime::CheckMayEnd()
+{
+  mayEnd_ = draining_ && (member_ == nullptr ||
+                          core::consensus::MayLeave(member_->Consensus(),
+                                                    foundation::SteadyNow()));
 }
 
 void
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -56,7 +56,12 @@
   void PostConnections(const foundation::GroupName& aGroup,
                        std::uint32_t aConnections);
   void PostReleased(const foundation::GroupName& aGroup, std::uint64_t aTerm);
+  //! Tells the other hosts that this one is to stop.
   void PostDraining();
+  //! True once this host is known to be stopping and its control member, if
+  //! any, may end: its vote is handed over, or nobody is ready to take it.
+  //! Callable from any thread.
+  bool MayEnd() const { return mayEnd_; }
   //! Releases every grant; no request may be in flight any more. aDone is
   //! called on the control thread when the release is queued to be sent.
   void PostReleaseAll(std::function<void()> aDone);
@@ -120,6 +125,7 @@
   foundation::Instant NextDue() const;
   void OnTick();
   void AnswerChangesInForce();
+  void CheckMayEnd();
   void SetPeers();
   //! Merges the addresses of all sources into memberAddresses_ and opens links
   //! to these hosts.
@@ -190,6 +196,8 @@
     foundation::Instant answerAt_; //!< answered then even if not in force
   };
   std::vector<DecidedChange> decidedChanges_;
+  bool draining_ = false;
+  std::atomic<bool> mayEnd_ = false;
   foundation::Instant lastTick_;
   foundation::Instant nextReports_;
   std::thread thread_;
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -29,6 +29,10 @@
 //! this host is draining.
 constexpr Duration kMinDrainMs = std::chrono::milliseconds(1000);
 
+//! Time for which a stopping control member waits until its vote is handed
+//! over: a few rounds of the control members.
+constexpr Duration kVoteHandOverLimitMs = std::chrono::milliseconds(2000);
+
 //! Time after the drain deadline for the last answers to reach the callers.
 constexpr Duration kLastAnswersMs = std::chrono::milliseconds(100);
 
@@ -350,7 +354,8 @@
     requestsRefused_ = true;
     traffic_->RefuseRequests();
   }
-  if (IsDrained() && StopEndpoints()) {
+  const bool mayEnd = control_->MayEnd() || waited >= kVoteHandOverLimitMs;
+  if (IsDrained() && mayEnd && StopEndpoints()) {
     foundation::LogChange("daemon", "drained", DescribeDrain());
     control_->PostReleaseAll(
       [this] { boost::asio::post(signals_, [this] { signals_.stop(); }); });
