--- a/packages/core/configuration/applyrecord.cpp
+++ b/packages/core/configuration/applyrecord.cpp
@@ -188,6 +188,9 @@
     case wire::ControlRecord::kConfirm:
       ApplyDecision(aState, aRecord.confirm(), result);
       break;
+    case wire::ControlRecord::kForget:
+      ApplyDecision(aState, aRecord.forget(), result);
+      break;
     case wire::ControlRecord::kGrantees:
       ApplyDecision(aState, aRecord.grantees(), result);
       break;
--- a/packages/core/configuration/internal/decisions.cpp
+++ b/packages/core/configuration/internal/decisions.cpp
@@ -1,5 +1,7 @@
 #include "core/configuration/internal/decisions.h"
 
+#include <algorithm>
+
 #include <google/protobuf/util/message_differencer.h>
 
 #include "core/configuration/applyrecord.h"
@@ -29,6 +31,26 @@
            [&](const auto& aState) { return aState.target() == aTarget; });
 }
 
+void
+AddDeparted(wire::GroupState& aGroup, const wire::DepartedTarget& aDeparted)
+{
+  RemoveIf(*aGroup.mutable_departed(), [&](const auto& aOther) {
+    return aOther.target() == aDeparted.target() &&
+           aOther.incarnation() == aDeparted.incarnation();
+  });
+  *aGroup.add_departed() = aDeparted;
+}
+
+// A departed target that is back with its data can be read again.
+void
+RemoveReturned(wire::GroupState& aGroup, const wire::TargetState& aAdmitted)
+{
+  RemoveIf(*aGroup.mutable_departed(), [&](const auto& aDeparted) {
+    return aAdmitted.counted() && aDeparted.target() == aAdmitted.target() &&
+           aDeparted.incarnation() == aAdmitted.incarnation();
+  });
+}
+
 // The highest term of the group and its history.
 std::uint64_t
 HighestTerm(const wire::GroupState& aGroup)
@@ -78,6 +100,7 @@
   wire::TargetState* present = MutableTarget(aGroup, name);
   if (!present) {
     *aGroup.add_targets() = admitted;
+    RemoveReturned(aGroup, admitted);
     return "";
   }
   if (admitted.incarnation() < present->incarnation()) {
@@ -89,6 +112,10 @@
     return "target " + name + " is admitted like this already";
   }
   *present = admitted;
+  if (aAdmit.has_replaced()) {
+    AddDeparted(aGroup, aAdmit.replaced());
+  }
+  RemoveReturned(aGroup, admitted);
   return "";
 }
 
@@ -105,6 +132,9 @@
   if (aExpel.gone() && aGroup.primary() == aExpel.target()) {
     return "target " + aExpel.target() + " is the primary";
   }
+  if (aExpel.has_departed() && target->counted()) {
+    AddDeparted(aGroup, aExpel.departed());
+  }
   target->set_counted(false);
   if (aGroup.requested_primary() == aExpel.target()) {
     aGroup.clear_requested_primary();
@@ -160,6 +190,17 @@
   return "";
 }
 
+std::string
+ApplyToGroup(wire::GroupState& aGroup, const wire::ForgetDeparted& aForget)
+{
+  const auto before = aGroup.departed_size();
+  RemoveIf(*aGroup.mutable_departed(), [&](const auto& aDeparted) {
+    return std::ranges::find(aForget.targets(), aDeparted.target()) !=
+           aForget.targets().end();
+  });
+  return aGroup.departed_size() < before ? "" : "no such departed target";
+}
+
 std::string
 ApplyToGroup(wire::GroupState& aGroup, const wire::ConfirmPrimary& aConfirm)
 {
@@ -186,6 +227,8 @@
   aGroup.set_primary(aConfirm.target());
   aGroup.set_fenced(false);
   aGroup.clear_promoting();
+  // The new primary holds all that was acknowledged before.
+  aGroup.clear_departed();
   if (aGroup.requested_primary() == aConfirm.target()) {
     aGroup.clear_requested_primary();
   }
--- a/packages/core/configuration/internal/decisions.h
+++ b/packages/core/configuration/internal/decisions.h
@@ -21,5 +21,7 @@
 ApplyToGroup(wire::GroupState& aGroup, const wire::ConfirmPrimary& aConfirm);
 std::string
 ApplyToGroup(wire::GroupState& aGroup, const wire::SetGrantees& aGrantees);
+std::string
+ApplyToGroup(wire::GroupState& aGroup, const wire::ForgetDeparted& aForget);
 
 } // namespace wigeonlb::core::configuration
--- a/packages/core/failover/failover.h
+++ b/packages/core/failover/failover.h
@@ -153,6 +153,17 @@
   unsigned count_ = 0;
 };
 
+//! What this leader knows of the departed targets (wire::DepartedTarget).
+struct SettlingDeparted
+{
+  std::string names_;
+  foundation::Instant since_; //!< when these were first seen
+  //! Since when none of them answers any more.
+  std::optional<foundation::Instant> stoppedAt_;
+  //! First position of the primary that was read after stoppedAt_.
+  std::optional<foundation::LogPosition> position_;
+};
+
 //! The leader's volatile state for one group. It is not replicated: a new
 //! leader starts from the group's replicated state and an empty GroupProgress.
 struct GroupProgress
@@ -187,6 +198,7 @@
   std::optional<foundation::Instant> settledAt_;
   //! First position of the primary that was read after settledAt_.
   std::optional<foundation::LogPosition> catchUpPosition_;
+  SettlingDeparted settling_;
   std::string waitingReason_; //!< empty when the group waits for nothing
   std::deque<Decision> decisions_;
 };
--- a/packages/core/failover/internal/candidates.cpp
+++ b/packages/core/failover/internal/candidates.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <utility>
 
+#include "core/failover/internal/departedtargets.h"
 #include "core/positions/positions.h"
 
 namespace wigeonlb::core::failover {
@@ -155,8 +156,8 @@
 
 //! The highest position that a write acknowledged by `one_replica` can have;
 //! empty while the reads don't tell. Such a write is in the log of the primary
-//! and in that of another counted target: it is not beyond the primary's end,
-//! and not beyond the last of all the others.
+//! and in that of another target that counts or has departed: it is not beyond
+//! the primary's end, and not beyond the last of all the others.
 std::optional<LogPosition>
 FindAcknowledgedBound(const GroupContext& aContext,
                       const std::vector<Candidate>& aCandidates)
@@ -177,7 +178,8 @@
     std::ranges::count_if(group.targets(), [&](const auto& aTarget) {
       return aTarget.counted() && aTarget.target() != group.primary();
     });
-  if (othersRead < static_cast<std::size_t>(others)) {
+  const std::size_t departed = CountMissingDeparted(aContext, aCandidates);
+  if (othersRead < static_cast<std::size_t>(others) + departed) {
     return ofPrimary;
   }
   return ofPrimary ? std::min(*ofPrimary, ofOthers) : ofOthers;
--- a/packages/core/failover/internal/countedtargets.cpp
+++ b/packages/core/failover/internal/countedtargets.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/failover/internal/announcedtargets.h"
+#include "core/failover/internal/departedtargets.h"
 #include "core/failover/internal/withoutmajority.h"
 #include "core/positions/positions.h"
 
@@ -12,24 +14,6 @@
 
 namespace {
 
-wire::TargetState
-MakeTargetState(const wire::Announcement& aAnnouncement)
-{
-  wire::TargetState state;
-  state.set_target(aAnnouncement.target());
-  state.set_address(aAnnouncement.address());
-  state.set_data_centre(aAnnouncement.data_centre());
-  state.set_slots(aAnnouncement.slots());
-  state.set_connection_limit(aAnnouncement.connection_limit());
-  state.set_incarnation(aAnnouncement.incarnation());
-  state.set_dialect(aAnnouncement.dialect());
-  state.set_can_fence(aAnnouncement.can_fence());
-  state.set_checks_positions(aAnnouncement.checks_positions());
-  state.set_slots_by_statement(aAnnouncement.slots_by_statement());
-  state.set_counts_terms(aAnnouncement.counts_terms());
-  return state;
-}
-
 void
 ProposeExpulsion(GroupContext& aContext,
                  const std::string& aTarget,
@@ -43,28 +27,6 @@
     aContext, std::move(record), "expel " + aTarget + ": " + aReason);
 }
 
-//! Announcements of the group's live targets, ordered by name.
-std::vector<const wire::Announcement*>
-FindLiveAnnouncements(const GroupContext& aContext)
-{
-  std::vector<const wire::Announcement*> announcements;
-  const auto& targets = aContext.state_.membership_.targets_;
-  const auto group = targets.find(aContext.group_.group());
-  if (group == targets.end()) {
-    return announcements;
-  }
-  for (const auto& [name, entry] : group->second) {
-    if (entry.announcement_ &&
-        membership::AcceptsNewWork(aContext.state_.membership_,
-                                   aContext.group_.group(),
-                                   name,
-                                   aContext.now_)) {
-      announcements.push_back(&*entry.announcement_);
-    }
-  }
-  return announcements;
-}
-
 //! Proposes to admit or update one target that announced itself. With aCounted,
 //! a new target is counted at once, within the group's size if writes need a
 //! majority. Returns whether a record was proposed.
@@ -90,7 +52,14 @@
       continue; // must be expelled first
     }
     state.set_counted(newIncarnation ? aCounted && hasRoom : known->counted());
-    ProposeAdmission(aContext, std::move(state), "announced");
+    // A write that only its former data had may be acknowledged.
+    const bool replaced = known != nullptr && known->counted() &&
+                          newIncarnation && RemembersDeparted(group);
+    ProposeAdmission(aContext,
+                     std::move(state),
+                     "announced",
+                     replaced ? std::optional(MakeDeparted(aContext, *known))
+                              : std::nullopt);
     return true;
   }
   return false;
@@ -350,11 +319,15 @@
 void
 ProposeAdmission(GroupContext& aContext,
                  wire::TargetState aTarget,
-                 const std::string& aReason)
+                 const std::string& aReason,
+                 const std::optional<wire::DepartedTarget>& aReplaced)
 {
   const auto name = aTarget.target();
   wire::ControlRecord record;
   record.mutable_admit()->set_group(aContext.group_.group());
+  if (aReplaced) {
+    *record.mutable_admit()->mutable_replaced() = *aReplaced;
+  }
   *record.mutable_admit()->mutable_target() = std::move(aTarget);
   ProposeRecord(aContext, std::move(record), "admit " + name + ": " + aReason);
 }
@@ -392,23 +365,6 @@
   ProposeRecord(aContext, std::move(confirmation), "confirm " + reason);
 }
 
-bool
-MatchesAnnouncement(const wire::TargetState& aState,
-                    const wire::Announcement& aAnnouncement)
-{
-  return aState.target() == aAnnouncement.target() &&
-         aState.address() == aAnnouncement.address() &&
-         aState.data_centre() == aAnnouncement.data_centre() &&
-         aState.slots() == aAnnouncement.slots() &&
-         aState.connection_limit() == aAnnouncement.connection_limit() &&
-         aState.incarnation() == aAnnouncement.incarnation() &&
-         aState.dialect() == aAnnouncement.dialect() &&
-         aState.can_fence() == aAnnouncement.can_fence() &&
-         aState.checks_positions() == aAnnouncement.checks_positions() &&
-         aState.slots_by_statement() == aAnnouncement.slots_by_statement() &&
-         aState.counts_terms() == aAnnouncement.counts_terms();
-}
-
 void
 StepFirstPrimary(GroupContext& aContext)
 {
@@ -460,8 +416,8 @@
     return;
   }
   if (GetAcknowledgement(aContext.group_) != Acknowledgement::Majority) {
-    if (!AdmitAnnounced(aContext, true)) {
-      ExpelOneDeparted(aContext);
+    if (!AdmitAnnounced(aContext, true) && !ExpelOneDeparted(aContext)) {
+      ForgetSettledDeparted(aContext);
     }
     return;
   }
--- a/packages/core/failover/internal/countedtargets.h
+++ b/packages/core/failover/internal/countedtargets.h
@@ -1,14 +1,11 @@
 #pragma once
 
+#include <optional>
+
 #include "core/failover/internal/groupcontext.h"
 
 namespace wigeonlb::core::failover {
 
-//! True when the replicated state of the target equals its announcement.
-bool
-MatchesAnnouncement(const wire::TargetState& aState,
-                    const wire::Announcement& aAnnouncement);
-
 //! Step of a group that never had a primary: admits announced targets until
 //! `size` of them are counted, reads all of them, and adopts the primary that
 //! it finds, or promotes the target with the highest position.
@@ -22,10 +19,13 @@
 void
 StepCountedTargets(GroupContext& aContext);
 
+//! aReplaced: the target's former data, if it counted and is to be remembered.
 void
-ProposeAdmission(GroupContext& aContext,
-                 wire::TargetState aTarget,
-                 const std::string& aReason);
+ProposeAdmission(
+  GroupContext& aContext,
+  wire::TargetState aTarget,
+  const std::string& aReason,
+  const std::optional<wire::DepartedTarget>& aReplaced = std::nullopt);
 
 //! Proposes the group's first primary. A target that already is primary is
 //! adopted without a promotion.
--- a/packages/core/failover/internal/groupidle.cpp
+++ b/packages/core/failover/internal/groupidle.cpp
@@ -1,4 +1,5 @@
 #include "core/failover/internal/groupidle.h"
+#include "core/failover/internal/announcedtargets.h"
 
 #include <algorithm>
 
@@ -86,7 +87,8 @@
     GetAcknowledgement(group) == Acknowledgement::Majority &&
     (!progress.settledAt_ ||
      positions::CountedTargetCount(group) < GetGroupSize(group));
-  if (planned || unsettled || !progress.waitingReason_.empty()) {
+  if (planned || unsettled || !group.departed().empty() ||
+      !progress.waitingReason_.empty()) {
     return kStepDue;
   }
   auto until = Instant::max();
--- a/packages/core/failover/internal/promotion.cpp
+++ b/packages/core/failover/internal/promotion.cpp
@@ -6,6 +6,7 @@
 
 #include "core/configuration/groupoptions.h"
 #include "core/failover/internal/candidates.h"
+#include "core/failover/internal/departedtargets.h"
 #include "core/positions/positions.h"
 
 namespace wigeonlb::core::failover {
@@ -262,10 +263,18 @@
 //! Describes why no target is certain to hold every write that one replica has
 //! received.
 std::string
-DescribeMissingReplica(std::size_t aCandidates)
+DescribeMissingReplica(const GroupContext& aContext, std::size_t aCandidates)
 {
-  return "no replica is sure to hold every acknowledged write: " +
-         std::to_string(aCandidates) + " targets answer and count";
+  const auto& group = aContext.group_;
+  std::string reason = "no replica is sure to hold every acknowledged write: " +
+                       std::to_string(aCandidates) +
+                       " targets answer and count";
+  const std::string departed = ListDepartedNames(group);
+  if (!departed.empty()) {
+    reason += "; waits for " + group.primary() +
+              " or for a target with the log of " + departed;
+  }
+  return reason;
 }
 
 //! Describes why no target is certain to hold every acknowledged write.
@@ -347,8 +356,11 @@
       GetAcknowledgement(aContext.group_) == Acknowledgement::OneReplica;
     SetWaitingReason(aContext,
                      oneReplica
-                       ? DescribeMissingReplica(candidates.size())
+                       ? DescribeMissingReplica(aContext, candidates.size())
                        : DescribeMissingMajority(aContext, candidates.size()));
+    if (oneReplica) {
+      AdmitSuccessor(aContext);
+    }
     return;
   }
   progress.safeSince_ = progress.safeSince_.value_or(aContext.now_);
--- a/packages/core/failover/internal/withoutmajority.cpp
+++ b/packages/core/failover/internal/withoutmajority.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/failover/internal/countedtargets.h"
+#include "core/failover/internal/departedtargets.h"
 
 namespace wigeonlb::core::failover {
 
@@ -80,7 +81,7 @@
 
 } // namespace
 
-void
+bool
 ExpelOneDeparted(GroupContext& aContext)
 {
   for (const auto& target : aContext.group_.targets()) {
@@ -93,10 +94,15 @@
     record.mutable_expel()->set_target(target.target());
     record.mutable_expel()->set_reason("it is gone");
     record.mutable_expel()->set_gone(true);
+    if (target.counted() && RemembersDeparted(aContext.group_)) {
+      *record.mutable_expel()->mutable_departed() =
+        MakeDeparted(aContext, target);
+    }
     ProposeRecord(
       aContext, std::move(record), "forget " + target.target() + ": gone");
-    return;
+    return true;
   }
+  return false;
 }
 
 } // namespace wigeonlb::core::failover
--- a/packages/core/failover/internal/withoutmajority.h
+++ b/packages/core/failover/internal/withoutmajority.h
@@ -18,8 +18,9 @@
 ProposeLeaving(GroupContext& aContext);
 
 //! Proposes to remove one target that announced its permanent shutdown, or that
-//! has neither announced itself nor been reachable for kTargetExpiryMs.
-void
+//! has neither announced itself nor been reachable for kTargetExpiryMs. Returns
+//! whether a record was proposed.
+bool
 ExpelOneDeparted(GroupContext& aContext);
 
 } // namespace wigeonlb::core::failover
--- a/packages/core/failover/tests/singleleader.cpp
+++ b/packages/core/failover/tests/singleleader.cpp
@@ -33,6 +33,7 @@
     auto* target = group.add_targets();
     target->set_target(name);
     target->set_incarnation(1);
+    target->set_address(server.address_);
     target->set_counted(server.counted_);
     target->set_leaving(server.leaving_);
   }
@@ -142,6 +143,54 @@
   Continue(aLeader, aWithin);
 }
 
+void
+RunLive(Leader& aLeader, foundation::Duration aTime)
+{
+  auto group = MakeGroup(aLeader);
+  group.set_fenced(false);
+  (*aLeader.control_.mutable_groups())["g"] = group;
+  Feed(aLeader, BecameLeader{ .term_ = 1 });
+  // All grants of an earlier leader have expired by then.
+  aLeader.now_ += std::chrono::seconds(10);
+  RunFor(aLeader, aTime);
+}
+
+void
+RunFor(Leader& aLeader, foundation::Duration aTime)
+{
+  const auto end = aLeader.now_ + aTime;
+  while (aLeader.now_ < end) {
+    Feed(aLeader, Tick{ Instant::max() });
+    aLeader.now_ += kStepMs;
+  }
+}
+
+void
+Announce(Leader& aLeader, const std::string& aServer, bool aGone)
+{
+  HeartbeatReceived received;
+  received.receivedAt_ = aLeader.now_;
+  received.leaderLeaseUntil_ = Instant::max();
+  received.heartbeat_.mutable_sender()->set_host("h");
+  received.heartbeat_.set_sequence(++aLeader.heartbeats_);
+  auto& announcement = *received.heartbeat_.add_announcements();
+  announcement.set_group("g");
+  announcement.set_target(aServer);
+  announcement.set_address(aLeader.servers_.at(aServer).address_);
+  announcement.set_incarnation(1);
+  announcement.set_leaving(aGone);
+  announcement.set_gone(aGone);
+  Feed(aLeader, received);
+}
+
+void
+ChangeLeader(Leader& aLeader)
+{
+  aLeader.state_ = FailoverState();
+  aLeader.events_.clear();
+  Feed(aLeader, BecameLeader{ .term_ = ++aLeader.index_ });
+}
+
 void
 Continue(Leader& aLeader, foundation::Duration aWithin)
 {
--- a/packages/core/failover/tests/singleleader.h
+++ b/packages/core/failover/tests/singleleader.h
@@ -20,6 +20,7 @@
   bool counted_ = true;
   bool diverged_ = false; //!< as its status reports
   bool leaving_ = false;
+  std::string address_;
 };
 
 //! A single leader. The servers' answers are fed to it immediately.
@@ -32,6 +33,7 @@
   foundation::Instant now_{ std::chrono::seconds(10) };
   std::deque<FailoverEvent> events_;
   std::uint64_t index_ = 0;
+  std::uint64_t heartbeats_ = 0;
   std::vector<std::string> chosen_;
   foundation::Instant lastChosenAt_;
 };
@@ -49,4 +51,20 @@
 void
 Continue(Leader& aLeader, foundation::Duration aWithin);
 
+//! Begins with the group live under "b", and runs the leader for aTime.
+void
+RunLive(Leader& aLeader, foundation::Duration aTime);
+
+//! Runs the leader for aTime, whatever happens.
+void
+RunFor(Leader& aLeader, foundation::Duration aTime);
+
+//! A server announces itself, or that it is gone for good.
+void
+Announce(Leader& aLeader, const std::string& aServer, bool aGone);
+
+//! Another member leads from now on, which knows the replicated state only.
+void
+ChangeLeader(Leader& aLeader);
+
 } // namespace wigeonlb::core::failover
