--- a/packages/core/consensus/internal/election.cpp
+++ b/packages/core/consensus/internal/election.cpp
@@ -23,6 +23,7 @@
     request.set_last_index(LastIndex(state.log_));
     request.set_last_term(LastTerm(state.log_));
     request.set_added_incarnation(GetVotingIncarnation(state.log_, host));
+    request.set_added(IsAdded(state.log_, host));
     Send(aContext, std::move(message));
   }
 }
@@ -67,6 +68,20 @@
   return aRequest.last_index() >= LastIndex(aLog);
 }
 
+// Whether no entry in this log that the candidate lacks can be committed with
+// the help of this host. Its answers have counted for nothing if its own log
+// does not have it as a voter, and the candidate's only now adds it:
+// consensus.md.
+bool
+MayLead(const ConsensusState& aState, const wire::VoteRequest& aRequest)
+{
+  const foundation::HostId& self = aState.settings_.self_;
+  const bool counted =
+    IsVoter(Members(aState), self) ||
+    IsVoter(MembersAt(aState.log_, aState.commitIndex_), self);
+  return IsUpToDate(aState.log_, aRequest) || (aRequest.added() && !counted);
+}
+
 // Leader leases depend on this check: no vote is granted while a leader may
 // hold a lease.
 bool
@@ -99,16 +114,14 @@
   ConsensusState& state = aContext.state_;
   const wire::VoteRequest& request = aMessage.vote_request();
   if (request.pre_vote()) {
-    return aMessage.term() > state.hardState_.term() &&
-           IsUpToDate(state.log_, request);
+    return aMessage.term() > state.hardState_.term() && MayLead(state, request);
   }
   if (aMessage.term() > state.hardState_.term()) {
     BecomeFollower(aContext, aMessage.term(), "");
   }
   const std::string& vote = state.hardState_.vote();
   if (aMessage.term() < state.hardState_.term() ||
-      (!vote.empty() && vote != aMessage.from()) ||
-      !IsUpToDate(state.log_, request)) {
+      (!vote.empty() && vote != aMessage.from()) || !MayLead(state, request)) {
     return false;
   }
   state.hardState_.set_vote(aMessage.from());
--- a/packages/core/consensus/replicatedlog.cpp
+++ b/packages/core/consensus/replicatedlog.cpp
@@ -151,6 +151,14 @@
   return readmitted ? 0 : admitted;
 }
 
+bool
+IsAdded(const ReplicatedLog& aLog, std::string_view aHost)
+{
+  const auto& history = aLog.members_;
+  return history.size() > 1 && IsVoter(history.back().second, aHost) &&
+         !IsVoter(history[history.size() - 2].second, aHost);
+}
+
 std::uint64_t
 GetAdmittedIncarnation(const wire::MemberChange& aMembers,
                        std::string_view aHost)
--- a/packages/core/consensus/replicatedlog.h
+++ b/packages/core/consensus/replicatedlog.h
@@ -90,6 +90,10 @@
 std::uint64_t
 GetVotingIncarnation(const ReplicatedLog& aLog, std::string_view aHost);
 
+//! True if the latest change adds the host as a voter.
+bool
+IsAdded(const ReplicatedLog& aLog, std::string_view aHost);
+
 //! The incarnation with which a host is admitted; zero, the incarnation of the
 //! founders, if none is listed.
 std::uint64_t
--- a/packages/core/consensus/tests/election_tests.cpp
+++ b/packages/core/consensus/tests/election_tests.cpp
@@ -210,4 +210,61 @@
   CHECK(network.violations_.empty());
 }
 
+// Guards against a newcomer that refuses the only candidate because of an entry
+// that counts for nothing (issue 54).
+TEST_CASE("a host votes for a candidate that adds it, whatever it holds itself",
+          "[consensus][election]")
+{
+  struct Row
+  {
+    bool added_;            //!< by the candidate's latest change
+    bool isVoter_;          //!< in its own log
+    std::uint64_t ownTerm_; //!< of the last entry in its own log
+    bool granted_;
+  };
+  constexpr std::uint64_t kCandidateTerm = 2; //!< of its last entry
+  const auto row = GENERATE(values<Row>({
+    { true, false, kCandidateTerm + 1, true },
+    { true, false, kCandidateTerm, true },
+    { true, true, kCandidateTerm + 1, false },
+    { false, false, kCandidateTerm + 1, false },
+    { false, false, kCandidateTerm, true },
+  }));
+  constexpr foundation::Instant kStart{ 1000s };
+  ConsensusSettings settings;
+  settings.self_ = "d";
+  wire::HardState hardState;
+  hardState.set_term(row.ownTerm_);
+  hardState.set_incarnation(7);
+  wire::ConsensusEntry members;
+  members.set_index(1);
+  members.set_term(1);
+  auto& list = *members.mutable_record()->mutable_members();
+  list.add_voters("a");
+  *(row.isVoter_ ? list.add_voters() : list.add_learners()) = "d";
+  wire::ConsensusEntry last;
+  last.set_index(2);
+  last.set_term(row.ownTerm_);
+  const wire::ConsensusEntry entries[] = { members, last };
+  ConsensusState state =
+    MakeConsensusState(settings, hardState, {}, entries, kStart);
+
+  wire::ConsensusMessage message;
+  message.set_from("a");
+  message.set_to("d");
+  message.set_term(row.ownTerm_ + 1);
+  auto& request = *message.mutable_vote_request();
+  request.set_last_index(2);
+  request.set_last_term(kCandidateTerm);
+  request.set_added(row.added_);
+  std::vector<Action> actions;
+  Step(state, MessageReceived{ message }, kStart + 10s, actions);
+  const auto sent = std::ranges::find_if(actions, [](const Action& aAction) {
+    return std::holds_alternative<SendMessage>(aAction);
+  });
+  REQUIRE(sent != actions.end());
+  CHECK(std::get<SendMessage>(*sent).message_.vote_reply().granted() ==
+        row.granted_);
+}
+
 } // namespace wigeonlb::core::consensus
