--- a/packages/core/consensus/consensus.cpp
+++ b/packages/core/consensus/consensus.cpp
@@ -186,7 +186,10 @@
 {
   ConsensusState& state = aContext.state_;
   state.snapshotRequested_ = false;
-  Compact(state.log_, aEvent.snapshot_, state.settings_.retainedEntries_);
+  Compact(state.log_,
+          aEvent.snapshot_,
+          state.settings_.retainedEntries_,
+          state.settings_.retainedBytes_);
 }
 
 void
--- a/packages/core/consensus/consensus.h
+++ b/packages/core/consensus/consensus.h
@@ -50,11 +50,16 @@
   std::size_t batchEntries_ = 64;
   std::size_t batchBytes_ = std::size_t{ 128 } * 1024;
   std::size_t snapshotChunkBytes_ = std::size_t{ 64 } * 1024;
-  //! Number of applied entries after which a new snapshot is requested.
+  //! Number of applied entries after which a new snapshot is requested, and
+  //! their size: an entry may hold a whole configuration. A state that is
+  //! larger takes the place of the size, so that most writes are of new
+  //! entries.
   std::uint64_t snapshotIntervalEntries_ = 512;
-  //! Number of entries before the snapshot that are kept in the log, so that
-  //! members that lag slightly do not need a snapshot transfer.
+  std::size_t snapshotIntervalBytes_ = std::size_t{ 4 } * 1024 * 1024;
+  //! Number and size of the entries before the snapshot that are kept in the
+  //! log, so that members that lag slightly do not need a snapshot transfer.
   std::uint64_t retainedEntries_ = 128;
+  std::size_t retainedBytes_ = std::size_t{ 1 } * 1024 * 1024;
   std::uint64_t seed_ = 0;
   Guards guards_;
 };
@@ -88,8 +93,9 @@
   bool jointQuorums_ = false; //!< it counts quorums of outgoing voters
   //! Log index that a recovering member must reach before it is readmitted.
   std::uint64_t readmitAt_ = 0;
-  //! Last index of the snapshot that is being sent; zero: none.
-  std::uint64_t snapshotIndex_ = 0;
+  //! The snapshot that is being sent; null: none. It is sent to its end even if
+  //! there is a newer one meanwhile.
+  SnapshotPointer snapshot_;
   std::uint64_t snapshotOffset_ = 0;
 };
 
--- a/packages/core/consensus/internal/replication.cpp
+++ b/packages/core/consensus/internal/replication.cpp
@@ -337,6 +337,7 @@
     SendSnapshotPart(aContext, aHost, progress);
     return;
   }
+  progress.snapshot_.reset();
   wire::ConsensusMessage message = NewMessage(state, aHost);
   wire::AppendRequest& request = *message.mutable_append_request();
   request.set_previous_index(progress.next_ - 1);
--- a/packages/core/consensus/internal/snapshottransfer.cpp
+++ b/packages/core/consensus/internal/snapshottransfer.cpp
@@ -77,22 +77,22 @@
                  Progress& aProgress)
 {
   const ConsensusState& state = aContext.state_;
-  const ReplicatedLog& log = state.log_;
-  if (aProgress.snapshotIndex_ != log.snapshotIndex_) {
-    aProgress.snapshotIndex_ = log.snapshotIndex_;
+  if (!aProgress.snapshot_) {
+    aProgress.snapshot_ = state.log_.snapshot_;
     aProgress.snapshotOffset_ = 0;
   }
+  const StoredSnapshot& snapshot = *aProgress.snapshot_;
   const std::size_t offset = aProgress.snapshotOffset_;
-  const std::size_t size = std::min(log.snapshotBytes_.size() - offset,
+  const std::size_t size = std::min(snapshot.bytes_.size() - offset,
                                     state.settings_.snapshotChunkBytes_);
   wire::ConsensusMessage message = NewMessage(state, aHost);
   wire::SnapshotRequest& request = *message.mutable_snapshot_request();
-  request.set_last_index(log.snapshotIndex_);
-  request.set_last_term(log.snapshotTerm_);
-  *request.mutable_members() = log.snapshotMembers_;
+  request.set_last_index(snapshot.index_);
+  request.set_last_term(snapshot.term_);
+  *request.mutable_members() = snapshot.members_;
   request.set_offset(offset);
-  request.set_chunk(log.snapshotBytes_.substr(offset, size));
-  request.set_done(offset + size == log.snapshotBytes_.size());
+  request.set_chunk(snapshot.bytes_.substr(offset, size));
+  request.set_done(offset + size == snapshot.bytes_.size());
   request.set_round(aContext.now_.time_since_epoch().count());
   Send(aContext, std::move(message));
 }
@@ -130,12 +130,15 @@
     return;
   }
   if (reply.last_index() > 0) {
-    progress->snapshotIndex_ = 0;
+    progress->snapshot_.reset();
     RecordMatch(aContext, aMessage.from(), reply.last_index());
     return;
   }
+  if (!progress->snapshot_) {
+    return; // a late answer
+  }
   const std::uint64_t offset = std::min<std::uint64_t>(
-    reply.next_offset(), aContext.state_.log_.snapshotBytes_.size());
+    reply.next_offset(), progress->snapshot_->bytes_.size());
   // A part that was not accepted is sent again with the next heartbeat.
   if (offset != progress->snapshotOffset_) {
     progress->snapshotOffset_ = offset;
--- a/packages/core/consensus/internal/stepcontext.cpp
+++ b/packages/core/consensus/internal/stepcontext.cpp
@@ -22,9 +22,16 @@
 RequestSnapshot(StepContext& aContext)
 {
   ConsensusState& state = aContext.state_;
-  const std::uint64_t applied = state.commitIndex_ - state.log_.snapshotIndex_;
-  if (state.snapshotRequested_ ||
-      applied < state.settings_.snapshotIntervalEntries_) {
+  const ReplicatedLog& log = state.log_;
+  const std::uint64_t snapshot = SnapshotIndex(log);
+  const std::size_t stateBytes =
+    log.snapshot_ ? log.snapshot_->bytes_.size() : 0;
+  const std::size_t enoughBytes =
+    std::max(state.settings_.snapshotIntervalBytes_, stateBytes);
+  const bool due =
+    state.commitIndex_ - snapshot >= state.settings_.snapshotIntervalEntries_ ||
+    CountEntryBytes(log, snapshot, state.commitIndex_) >= enoughBytes;
+  if (state.snapshotRequested_ || !due) {
     return;
   }
   state.snapshotRequested_ = true;
--- a/packages/core/consensus/replicatedlog.cpp
+++ b/packages/core/consensus/replicatedlog.cpp
@@ -16,6 +16,18 @@
   }
 }
 
+SnapshotPointer
+MakeStoredSnapshot(const wire::MemberSnapshot& aSnapshot)
+{
+  auto* const stored = new StoredSnapshot();
+  SnapshotPointer pointer(stored);
+  stored->index_ = aSnapshot.last_index();
+  stored->term_ = aSnapshot.last_term();
+  stored->members_ = aSnapshot.members();
+  stored->bytes_ = aSnapshot.state().SerializeAsString();
+  return pointer;
+}
+
 } // namespace
 
 std::uint64_t
@@ -75,20 +87,39 @@
   }
 }
 
+std::uint64_t
+SnapshotIndex(const ReplicatedLog& aLog)
+{
+  return aLog.snapshot_ ? aLog.snapshot_->index_ : 0;
+}
+
+std::size_t
+CountEntryBytes(const ReplicatedLog& aLog,
+                std::uint64_t aFrom,
+                std::uint64_t aTo)
+{
+  std::size_t bytes = 0;
+  for (std::uint64_t i = std::max(aFrom, aLog.baseIndex_) + 1; i <= aTo; ++i) {
+    bytes += EntryAt(aLog, i).ByteSizeLong();
+  }
+  return bytes;
+}
+
 void
 Compact(ReplicatedLog& aLog,
         const wire::MemberSnapshot& aSnapshot,
-        std::uint64_t aKept)
+        std::uint64_t aKept,
+        std::size_t aKeptBytes)
 {
   const std::uint64_t index = aSnapshot.last_index();
-  if (index <= aLog.snapshotIndex_) {
+  if (index <= SnapshotIndex(aLog)) {
     return;
   }
-  aLog.snapshotIndex_ = index;
-  aLog.snapshotTerm_ = aSnapshot.last_term();
-  aLog.snapshotMembers_ = aSnapshot.members();
-  aLog.snapshotBytes_ = aSnapshot.state().SerializeAsString();
-  while (aLog.baseIndex_ + aKept < index && !aLog.entries_.empty()) {
+  aLog.snapshot_ = MakeStoredSnapshot(aSnapshot);
+  std::size_t bytes = CountEntryBytes(aLog, aLog.baseIndex_, index);
+  while (aLog.baseIndex_ < index && !aLog.entries_.empty() &&
+         (aLog.baseIndex_ + aKept < index || bytes > aKeptBytes)) {
+    bytes -= aLog.entries_.front().ByteSizeLong();
     aLog.baseTerm_ = aLog.entries_.front().term();
     aLog.entries_.pop_front();
     ++aLog.baseIndex_;
@@ -103,10 +134,7 @@
   aLog.baseIndex_ = aSnapshot.last_index();
   aLog.baseTerm_ = aSnapshot.last_term();
   aLog.members_ = { { aSnapshot.last_index(), aSnapshot.members() } };
-  aLog.snapshotIndex_ = aSnapshot.last_index();
-  aLog.snapshotTerm_ = aSnapshot.last_term();
-  aLog.snapshotMembers_ = aSnapshot.members();
-  aLog.snapshotBytes_ = aSnapshot.state().SerializeAsString();
+  aLog.snapshot_ = MakeStoredSnapshot(aSnapshot);
 }
 
 const wire::MemberChange&
--- a/packages/core/consensus/replicatedlog.h
+++ b/packages/core/consensus/replicatedlog.h
@@ -8,11 +8,25 @@
 #include <utility>
 #include <vector>
 
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
 #include "control.pb.h"
 #include "storage.pb.h"
 
 namespace wigeonlb::core::consensus {
 
+//! A snapshot on disk, for members that need entries up to the log's base.
+struct StoredSnapshot
+  : boost::intrusive_ref_counter<StoredSnapshot, boost::thread_unsafe_counter>
+{
+  std::uint64_t index_ = 0;
+  std::uint64_t term_ = 0;
+  wire::MemberChange members_;
+  std::string bytes_; //!< serialized ControlState
+};
+using SnapshotPointer = boost::intrusive_ptr<const StoredSnapshot>;
+
 //! The log entries after the last compaction point, and the member lists that
 //! they set.
 struct ReplicatedLog
@@ -24,13 +38,19 @@
   //! Member lists with the index of the entry that set them, oldest first.
   //! Never empty.
   std::vector<std::pair<std::uint64_t, wire::MemberChange>> members_;
-  //! The latest snapshot on disk, for members that need entries up to the base.
-  std::uint64_t snapshotIndex_ = 0;
-  std::uint64_t snapshotTerm_ = 0;
-  wire::MemberChange snapshotMembers_;
-  std::string snapshotBytes_; //!< serialized ControlState
+  SnapshotPointer snapshot_; //!< the latest one; null: none
 };
 
+//! Index of the latest snapshot; zero if there is none.
+std::uint64_t
+SnapshotIndex(const ReplicatedLog& aLog);
+
+//! Size of the entries after aFrom, up to and including aTo.
+std::size_t
+CountEntryBytes(const ReplicatedLog& aLog,
+                std::uint64_t aFrom,
+                std::uint64_t aTo);
+
 std::uint64_t
 LastIndex(const ReplicatedLog& aLog);
 std::uint64_t
@@ -58,11 +78,13 @@
 TruncateFrom(ReplicatedLog& aLog, std::uint64_t aIndex);
 
 //! Records a snapshot that was saved to disk and drops the entries up to it,
-//! except for the last aKept ones. Ignores older snapshots.
+//! except for the last aKept ones, of at most aKeptBytes. Ignores older
+//! snapshots.
 void
 Compact(ReplicatedLog& aLog,
         const wire::MemberSnapshot& aSnapshot,
-        std::uint64_t aKept);
+        std::uint64_t aKept,
+        std::size_t aKeptBytes);
 
 //! Replaces the whole log with a snapshot.
 void
--- a/packages/core/consensus/tests/consensus_tests.cpp
+++ b/packages/core/consensus/tests/consensus_tests.cpp
@@ -339,7 +339,7 @@
   }
   const ReplicatedLog& log = network.members_[elected.leader_].consensus_.log_;
   CHECK(log.entries_.size() <= 8 + 2 + 1);
-  CHECK(log.snapshotBytes_.size() > 5 * kSnapshotPartBytes);
+  CHECK(log.snapshot_->bytes_.size() > 5 * kSnapshotPartBytes);
   Heal(network);
   Run(network, 2s);
   CHECK(GetTenantShare(network, elected.cutOff_) == "60");
--- a/packages/core/consensus/tests/simulatednetwork.cpp
+++ b/packages/core/consensus/tests/simulatednetwork.cpp
@@ -73,6 +73,7 @@
     aNetwork.largestPartBytes_, aMessage.snapshot_request().chunk().size());
   aNetwork.entriesSent_ +=
     static_cast<std::uint64_t>(aMessage.append_request().entries_size());
+  aNetwork.bytesSentTo_[aMessage.to()] += aMessage.ByteSizeLong();
   const bool cut =
     aNetwork.cutLinks_.contains({ aMessage.from(), aMessage.to() });
   if (cut || Chance(aNetwork, 10 * aNetwork.settings_.lossPercent_)) {
--- a/packages/core/consensus/tests/simulatednetwork.h
+++ b/packages/core/consensus/tests/simulatednetwork.h
@@ -130,6 +130,7 @@
   std::uint64_t writesRefused_ = 0;
   std::size_t largestPartBytes_ = 0; //!< largest snapshot part sent
   std::uint64_t entriesSent_ = 0;
+  std::map<foundation::HostId, std::uint64_t> bytesSentTo_;
 };
 
 SimulatedNetwork
--- a/packages/core/consensus/tests/snapshottransfer_tests.cpp
+++ b/packages/core/consensus/tests/snapshottransfer_tests.cpp
@@ -80,7 +80,7 @@
   }
   CHECK_FALSE(offset);
   wire::ControlState installed;
-  REQUIRE(installed.ParseFromString(state.log_.snapshotBytes_));
+  REQUIRE(installed.ParseFromString(state.log_.snapshot_->bytes_));
   CHECK(installed.groups().contains("x"));
   CHECK(installed.groups().contains("y"));
 }
