--- a/apps/wigeonlbd/operations/tables.cpp
+++ b/apps/wigeonlbd/operations/tables.cpp
@@ -353,11 +353,12 @@
   const wire::MemberChange& members = core::consensus::Members(state);
   for (const foundation::HostId& host : members.outgoing_voters()) {
     if (std::ranges::find(members.voters(), host) == members.voters().end()) {
-      table.rows_.push_back({ host,
-                              "learner",
-                              std::string(kUnknown),
-                              std::string(kUnknown),
-                              "still votes: a change of members is under way" });
+      table.rows_.push_back(
+        { host,
+          "learner",
+          std::string(kUnknown),
+          std::string(kUnknown),
+          "still votes: a change of members is under way" });
     }
   }
   return table;
