--- a/packages/core/consensus/memberplan.cpp
+++ b/packages/core/consensus/memberplan.cpp
@@ -64,9 +64,11 @@
       outgoing.push_back(host);
     }
   }
-  std::ranges::stable_partition(outgoing, [&](const HostId& aHost) {
-    return IsUnresponsive(aState, aHost);
-  });
+  // Not of std::ranges, which clang-tidy can't read with this standard library.
+  std::stable_partition(
+    outgoing.begin(), outgoing.end(), [&](const HostId& aHost) {
+      return IsUnresponsive(aState, aHost);
+    });
   return outgoing;
 }
 
--- a/packages/core/consensus/tests/membershipplay_tests.cpp
+++ b/packages/core/consensus/tests/membershipplay_tests.cpp
@@ -50,9 +50,10 @@
   std::erase_if(targets, [&](const HostId& aHost) {
     return std::ranges::count(healthy, aHost) == 0;
   });
-  std::ranges::stable_partition(targets, [&](const HostId& aHost) {
-    return (aHost == Leader(aPlay.planned_.network_)) == aLeaderFirst;
-  });
+  std::stable_partition(
+    targets.begin(), targets.end(), [&](const HostId& aHost) {
+      return (aHost == Leader(aPlay.planned_.network_)) == aLeaderFirst;
+    });
   return targets;
 }
 
