--- a/packages/core/consensus/internal/replication.cpp
+++ b/packages/core/consensus/internal/replication.cpp
@@ -82,6 +82,19 @@
            aNow - aState.settings_.electionTimeoutMax_;
 }
 
+foundation::Duration
+ComputeSilence(const ConsensusState& aState,
+               const foundation::HostId& aHost,
+               foundation::Instant aNow)
+{
+  const auto progress = aState.progress_.find(aHost);
+  foundation::Instant since = aState.leadingSince_;
+  if (progress != aState.progress_.end()) {
+    since = std::max(since, progress->second.answeredSentAt_.value_or(since));
+  }
+  return aNow - since;
+}
+
 namespace {
 
 // True if a quorum counts and has answered recently.
--- a/packages/core/consensus/internal/replication.h
+++ b/packages/core/consensus/internal/replication.h
@@ -63,6 +63,13 @@
                     const foundation::HostId& aHost,
                     foundation::Instant aNow);
 
+//! How long the host has not answered this leader, counted from its election at
+//! the earliest.
+foundation::Duration
+ComputeSilence(const ConsensusState& aState,
+               const foundation::HostId& aHost,
+               foundation::Instant aNow);
+
 //! Latest time such that a quorum has answered requests sent at or after it;
 //! absent if no quorum has answered in this term. This host always counts as
 //! having answered: Instant::max() if it is the only voter.
--- a/packages/core/consensus/memberplan.cpp
+++ b/packages/core/consensus/memberplan.cpp
@@ -19,20 +19,6 @@
   return std::ranges::find(aHosts, aHost) != aHosts.end();
 }
 
-//! How long the host has not answered this leader, counted from its election at
-//! the earliest.
-foundation::Duration
-GetSilence(const ConsensusState& aState, const HostId& aHost, Instant aNow)
-{
-  const auto progress = aState.progress_.find(aHost);
-  const bool answered = progress != aState.progress_.end() &&
-                        progress->second.answeredSentAt_.has_value();
-  const Instant since =
-    answered ? std::max(*progress->second.answeredSentAt_, aState.leadingSince_)
-             : aState.leadingSince_;
-  return aNow - since;
-}
-
 bool
 IsUnresponsive(const ConsensusState& aState, const HostId& aHost)
 {
@@ -233,7 +219,7 @@
       std::ranges::any_of(aLive, [&](const MemberCandidate& aCandidate) {
         return aCandidate.host_ == host;
       });
-    if (isLive || GetSilence(aState, host, aNow) < kLearnerTimeoutMs) {
+    if (isLive || ComputeSilence(aState, host, aNow) < kLearnerTimeoutMs) {
       continue;
     }
     MemberPlan plan{ MemberStep::RemoveLearner, Members(aState), host };
--- a/packages/core/consensus/memberstanding.cpp
+++ b/packages/core/consensus/memberstanding.cpp
@@ -19,17 +19,6 @@
   return found == aState.progress_.end() ? nullptr : &found->second;
 }
 
-foundation::Duration
-ComputeSilence(const ConsensusState& aState, const HostId& aHost, Instant aNow)
-{
-  const Progress* const progress = FindProgress(aState, aHost);
-  Instant since = aState.leadingSince_;
-  if (progress != nullptr && progress->answeredSentAt_) {
-    since = std::max(since, *progress->answeredSentAt_);
-  }
-  return aNow - since;
-}
-
 //! True until a host has answered this leader or its time to do so is over.
 bool
 IsAnswerPending(const ConsensusState& aState, const HostId& aHost, Instant aNow)
--- a/packages/core/failover/failover.h
+++ b/packages/core/failover/failover.h
@@ -228,6 +228,8 @@
   bool fencesByLeader_ = true;
   //! Promotions are requested only while the leader's lease holds.
   bool promotesUnderLease_ = true;
+  //! A departed target bounds what may be promoted.
+  bool departedBounds_ = true;
 };
 
 //! Owners of one group, computed from the live hosts and the group's revision.
--- a/packages/core/failover/internal/countedtargets.cpp
+++ b/packages/core/failover/internal/countedtargets.cpp
@@ -235,13 +235,8 @@
   if (!catchUpPosition && primary != nullptr) {
     catchUpPosition = positions::GetWrittenPosition(*primary, group);
   }
-  const auto* report = FindOwnReport(aContext, aTarget.target(), aSettledAt);
-  if (!catchUpPosition || report == nullptr ||
-      report->incarnation() != aTarget.incarnation() ||
-      positions::IsDiverged(*report, group)) {
-    return false;
-  }
-  return positions::GetWrittenPosition(*report, group) >= *catchUpPosition;
+  return catchUpPosition &&
+         HasReached(aContext, aTarget, *catchUpPosition, aSettledAt);
 }
 
 //! Sets the waiting reason when no majority follows the live primary, so that
@@ -316,6 +311,19 @@
 
 } // namespace
 
+bool
+HasReached(GroupContext& aContext,
+           const wire::TargetState& aTarget,
+           foundation::LogPosition aPosition,
+           Instant aSince)
+{
+  RequestRead(aContext, aTarget, kPollIntervalMs);
+  const auto* report = FindOwnReport(aContext, aTarget.target(), aSince);
+  return report != nullptr && report->incarnation() == aTarget.incarnation() &&
+         !positions::IsDiverged(*report, aContext.group_) &&
+         positions::GetWrittenPosition(*report, aContext.group_) >= aPosition;
+}
+
 void
 ProposeAdmission(GroupContext& aContext,
                  wire::TargetState aTarget,
--- a/packages/core/failover/internal/countedtargets.h
+++ b/packages/core/failover/internal/countedtargets.h
@@ -3,6 +3,7 @@
 #include <optional>
 
 #include "core/failover/internal/groupcontext.h"
+#include "foundation/logposition.h"
 
 namespace wigeonlb::core::failover {
 
@@ -19,6 +20,13 @@
 void
 StepCountedTargets(GroupContext& aContext);
 
+//! True when a read since aSince shows that the target's log reaches aPosition.
+bool
+HasReached(GroupContext& aContext,
+           const wire::TargetState& aTarget,
+           foundation::LogPosition aPosition,
+           foundation::Instant aSince);
+
 //! aReplaced: the target's former data, if it counted and is to be remembered.
 void
 ProposeAdmission(
--- a/packages/core/failover/internal/departedtargets.cpp
+++ b/packages/core/failover/internal/departedtargets.cpp
@@ -94,19 +94,6 @@
   return positions::GetWrittenPosition(*report, group);
 }
 
-bool
-HasReached(GroupContext& aContext,
-           const wire::TargetState& aTarget,
-           LogPosition aPosition,
-           Instant aSince)
-{
-  RequestRead(aContext, aTarget, kPollIntervalMs);
-  const auto* report = FindOwnReport(aContext, aTarget.target(), aSince);
-  return report != nullptr && report->incarnation() == aTarget.incarnation() &&
-         !positions::IsDiverged(*report, aContext.group_) &&
-         positions::GetWrittenPosition(*report, aContext.group_) >= aPosition;
-}
-
 //! A target at the address of a departed one has its log if it does not end
 //! before what was read of that.
 bool
@@ -205,6 +192,9 @@
 CountMissingDeparted(const GroupContext& aContext,
                      std::span<const Candidate> aCandidates)
 {
+  if (!aContext.state_.guards_.departedBounds_) {
+    return 0;
+  }
   return static_cast<std::size_t>(std::ranges::count_if(
     aContext.group_.departed(), [&](const auto& aDeparted) {
       return std::ranges::none_of(aCandidates,
--- a/packages/core/failover/tests/departedtargets_tests.cpp
+++ b/packages/core/failover/tests/departedtargets_tests.cpp
@@ -240,62 +240,83 @@
   CHECK(GetGroup(play.leader_).fenced() == (row.primary_ == "b"));
 }
 
+namespace {
+
+//! One random event.
+void
+PlayEvent(Play& aPlay, std::mt19937& aRandom)
+{
+  std::vector<std::string> replicas;
+  for (const auto& [name, server] : aPlay.leader_.servers_) {
+    if (!server.primary_ && server.answers_) {
+      replicas.push_back(name);
+    }
+  }
+  Server& primary = aPlay.leader_.servers_[FindPrimary(aPlay)];
+  switch (aRandom() % 8) {
+    case 0:
+    case 1:
+      if (!replicas.empty()) {
+        bool& deaf = aPlay.deaf_[replicas[aRandom() % replicas.size()]];
+        deaf = !deaf;
+      }
+      return;
+    case 2:
+      if (replicas.size() > 1) {
+        const std::string& ending = replicas[aRandom() % replicas.size()];
+        const bool deaf = aRandom() % 2 == 0;
+        for (const std::string& other : replicas) {
+          aPlay.deaf_[other] = deaf && other != ending;
+        }
+        Advance(aPlay, 500ms);
+        End(aPlay, ending);
+      }
+      return;
+    case 3:
+      if (!aPlay.ended_.empty()) {
+        Succeed(aPlay, *aPlay.ended_.begin());
+      }
+      return;
+    case 4:
+      primary.answers_ = !primary.answers_;
+      return;
+    case 5:
+      ChangeLeader(aPlay.leader_);
+      return;
+    default:
+      aPlay.deaf_.clear();
+      return;
+  }
+}
+
+Play
+PlayAtRandom(std::uint64_t aSeed, const Guards& aGuards)
+{
+  constexpr int kEvents = 40;
+  Play play = MakePlay();
+  play.leader_.guards_ = aGuards;
+  std::mt19937 random(static_cast<std::uint32_t>(aSeed));
+  Begin(play);
+  for (int i = 0; i < kEvents && play.lost_.empty(); ++i) {
+    PlayEvent(play, random);
+    Advance(play, std::chrono::milliseconds(100 + random() % 1500));
+  }
+  return play;
+}
+
+constexpr std::uint64_t kSeeds = 60;
+
+} // namespace
+
 TEST_CASE("no choice lacks an acknowledged write while replicas end, are deaf "
           "and are succeeded",
           "[onereplica][departed]")
 {
   const char* text = std::getenv("WIGEONLB_SCHEDULES");
-  const std::uint64_t seeds =
-    text ? std::strtoull(text, nullptr, 10) : std::uint64_t{ 60 };
+  const std::uint64_t seeds = text ? std::strtoull(text, nullptr, 10) : kSeeds;
   std::size_t choices = 0;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-    Play play = MakePlay();
-    std::mt19937 random(static_cast<std::uint32_t>(seed));
-    Begin(play);
-    for (int i = 0; i < 40 && play.lost_.empty(); ++i) {
-      std::vector<std::string> replicas;
-      for (const auto& [name, server] : play.leader_.servers_) {
-        if (!server.primary_ && server.answers_) {
-          replicas.push_back(name);
-        }
-      }
-      Server& primary = play.leader_.servers_[FindPrimary(play)];
-      switch (random() % 8) {
-        case 0:
-        case 1:
-          if (!replicas.empty()) {
-            bool& deaf = play.deaf_[replicas[random() % replicas.size()]];
-            deaf = !deaf;
-          }
-          break;
-        case 2:
-          if (replicas.size() > 1) {
-            const std::string& ending = replicas[random() % replicas.size()];
-            const bool deaf = random() % 2 == 0;
-            for (const std::string& other : replicas) {
-              play.deaf_[other] = deaf && other != ending;
-            }
-            Advance(play, 500ms);
-            End(play, ending);
-          }
-          break;
-        case 3:
-          if (!play.ended_.empty()) {
-            Succeed(play, *play.ended_.begin());
-          }
-          break;
-        case 4:
-          primary.answers_ = !primary.answers_;
-          break;
-        case 5:
-          ChangeLeader(play.leader_);
-          break;
-        default:
-          play.deaf_.clear();
-          break;
-      }
-      Advance(play, std::chrono::milliseconds(100 + random() % 1500));
-    }
+    const Play play = PlayAtRandom(seed, {});
     choices += play.leader_.chosen_.size();
     INFO("seed " << seed);
     CHECK(play.lost_.empty());
@@ -303,4 +324,14 @@
   CHECK(choices > 0);
 }
 
+TEST_CASE("random orders show that departed targets must bound the choice",
+          "[onereplica][departed][guard]")
+{
+  bool found = false;
+  for (std::uint64_t seed = 1; seed <= kSeeds && !found; ++seed) {
+    found = !PlayAtRandom(seed, { .departedBounds_ = false }).lost_.empty();
+  }
+  CHECK(found);
+}
+
 } // namespace wigeonlb::core::failover
--- a/packages/core/failover/tests/singleleader.cpp
+++ b/packages/core/failover/tests/singleleader.cpp
@@ -148,6 +148,7 @@
 {
   auto group = MakeGroup(aLeader);
   group.set_fenced(false);
+  aLeader.state_.guards_ = aLeader.guards_;
   (*aLeader.control_.mutable_groups())["g"] = group;
   Feed(aLeader, BecameLeader{ .term_ = 1 });
   // All grants of an earlier leader have expired by then.
@@ -187,6 +188,7 @@
 ChangeLeader(Leader& aLeader)
 {
   aLeader.state_ = FailoverState();
+  aLeader.state_.guards_ = aLeader.guards_;
   aLeader.events_.clear();
   Feed(aLeader, BecameLeader{ .term_ = ++aLeader.index_ });
 }
--- a/packages/core/failover/tests/singleleader.h
+++ b/packages/core/failover/tests/singleleader.h
@@ -30,6 +30,7 @@
   std::string acknowledge_ = "majority";
   wire::ControlState control_;
   FailoverState state_;
+  Guards guards_;
   foundation::Instant now_{ std::chrono::seconds(10) };
   std::deque<FailoverEvent> events_;
   std::uint64_t index_ = 0;
