--- a/packages/core/consensus/consensus.h
+++ b/packages/core/consensus/consensus.h
@@ -26,6 +26,8 @@
   //! A member that lost its disk does not vote or count towards quorums until
   //! it is readmitted.
   bool recoveringAbstains_ = true;
+  //! A host votes for a candidate that adds it whatever it holds itself.
+  bool addedVotes_ = true;
 };
 
 //! Settings of one member. The default intervals are for a LAN.
--- a/packages/core/consensus/internal/election.cpp
+++ b/packages/core/consensus/internal/election.cpp
@@ -79,7 +79,8 @@
   const bool counted =
     IsVoter(Members(aState), self) ||
     IsVoter(MembersAt(aState.log_, aState.commitIndex_), self);
-  return IsUpToDate(aState.log_, aRequest) || (aRequest.added() && !counted);
+  return IsUpToDate(aState.log_, aRequest) ||
+         (aRequest.added() && !counted && aState.settings_.guards_.addedVotes_);
 }
 
 // Leader leases depend on this check: no vote is granted while a leader may
--- a/packages/core/consensus/tests/election_tests.cpp
+++ b/packages/core/consensus/tests/election_tests.cpp
@@ -221,11 +221,13 @@
     bool isVoter_;          //!< in its own log
     std::uint64_t ownTerm_; //!< of the last entry in its own log
     bool granted_;
+    Guards guards_;
   };
   constexpr std::uint64_t kCandidateTerm = 2; //!< of its last entry
   const auto row = GENERATE(values<Row>({
     { true, false, kCandidateTerm + 1, true },
     { true, false, kCandidateTerm, true },
+    { true, false, kCandidateTerm + 1, false, { .addedVotes_ = false } },
     { true, true, kCandidateTerm + 1, false },
     { false, false, kCandidateTerm + 1, false },
     { false, false, kCandidateTerm, true },
@@ -233,6 +235,7 @@
   constexpr foundation::Instant kStart{ 1000s };
   ConsensusSettings settings;
   settings.self_ = "d";
+  settings.guards_ = row.guards_;
   wire::HardState hardState;
   hardState.set_term(row.ownTerm_);
   hardState.set_incarnation(7);
--- a/packages/core/consensus/tests/membershipplay_tests.cpp
+++ b/packages/core/consensus/tests/membershipplay_tests.cpp
@@ -114,10 +114,14 @@
 };
 
 std::string
-Play(const Case& aCase, std::size_t aTolerated, Duration aOffset)
+Play(const Case& aCase,
+     std::size_t aTolerated,
+     Duration aOffset,
+     bool aReplacesInOneChange = true)
 {
   const auto seed = static_cast<std::uint64_t>(1 + aOffset / 10ms);
   MembershipPlay play = MakePlay(aTolerated, seed, 0);
+  play.planned_.replacesInOneChange_ = aReplacesInOneChange;
   LoseFirst(play, aCase.first_, aCase.leader_);
   Advance(play, aOffset);
   LoseDisks(play, aCase.second_);
@@ -257,6 +261,22 @@
   }
 }
 
+TEST_CASE("losses around a replacement show the plan that demotes first",
+          "[consensus][membership][guard]")
+{
+  const Case frozen{ "frozen, disks of voters",
+                     First::FrozenForLong,
+                     Second::Voters };
+  std::string finding;
+  for (Duration offset = 0ms; offset <= 3000ms && finding.empty();
+       offset += 10ms) {
+    finding = Play(frozen, 1, offset, false);
+    CHECK(Play(frozen, 1, offset, true).empty());
+  }
+  std::cout << "demoted first: " << finding << "\n";
+  CHECK(finding.starts_with("no leader"));
+}
+
 TEST_CASE("a leader comes back after tolerated losses in any order",
           "[consensus][membership]")
 {
--- a/packages/core/consensus/tests/plannednetwork.cpp
+++ b/packages/core/consensus/tests/plannednetwork.cpp
@@ -14,6 +14,17 @@
 //! Time between two changes of an operator.
 constexpr Duration kChangeIntervalMs = std::chrono::milliseconds(1000);
 
+//! The first of two steps in place of a replacement.
+wire::MemberChange
+DemoteOnly(const ConsensusState& aState, const MemberPlan& aPlan)
+{
+  wire::MemberChange members = Members(aState);
+  auto& voters = *members.mutable_voters();
+  voters.erase(std::ranges::find(voters, aPlan.outgoing_));
+  members.add_learners(aPlan.outgoing_);
+  return members;
+}
+
 void
 ProposeStep(PlannedNetwork& aPlanned)
 {
@@ -28,13 +39,15 @@
       live.push_back({ host, host + ":1" });
     }
   }
-  const MemberPlan plan = PlanMembers(network.members_[leader].consensus_,
-                                      live,
-                                      aPlanned.wantedVoters_,
-                                      network.now_);
+  const ConsensusState& state = network.members_[leader].consensus_;
+  const MemberPlan plan =
+    PlanMembers(state, live, aPlanned.wantedVoters_, network.now_);
   if (plan.step_ != MemberStep::None) {
+    const bool twoSteps =
+      plan.step_ == MemberStep::ReplaceVoters && !aPlanned.replacesInOneChange_;
     wire::ControlRecord record;
-    *record.mutable_members() = plan.members_;
+    *record.mutable_members() =
+      twoSteps ? DemoteOnly(state, plan) : plan.members_;
     Feed(network, leader, Propose{ record, 3 });
   }
 }
--- a/packages/core/consensus/tests/plannednetwork.h
+++ b/packages/core/consensus/tests/plannednetwork.h
@@ -17,6 +17,9 @@
   std::size_t wantedVoters_ = 3;
   int newcomers_ = 0;
   foundation::Instant changeDue_;
+  //! Off: a voter is demoted first, and its successor promoted after that, as
+  //! before joint quorums.
+  bool replacesInOneChange_ = true;
 };
 
 //! Starts a host with an empty disk under a name that was never used.
