--- a/packages/core/consensus/internal/election.cpp
+++ b/packages/core/consensus/internal/election.cpp
@@ -1,5 +1,7 @@
 #include "core/consensus/internal/election.h"
 
+#include <algorithm>
+
 #include "core/consensus/internal/quorum.h"
 #include "core/consensus/internal/replication.h"
 
@@ -23,7 +25,10 @@
     request.set_last_index(LastIndex(state.log_));
     request.set_last_term(LastTerm(state.log_));
     request.set_added_incarnation(GetVotingIncarnation(state.log_, host));
-    request.set_added(IsAdded(state.log_, host));
+    if (const auto change = FindAddingChange(state.log_, host)) {
+      request.set_added_index(change->index_);
+      request.set_before_index(change->beforeIndex_);
+    }
     Send(aContext, std::move(message));
   }
 }
@@ -68,19 +73,32 @@
   return aRequest.last_index() >= LastIndex(aLog);
 }
 
-// Whether no entry in this log that the candidate lacks can be committed with
-// the help of this host. Its answers have counted for nothing if its own log
-// does not have it as a voter, and the candidate's only now adds it:
-// consensus.md.
+// Whether answers of this host may have counted for entries that the candidate
+// lacks although its latest change adds the host: if the host was a voter after
+// the committed change before that one, or no longer has the log since then.
+bool
+MayHaveCounted(const ConsensusState& aState, const wire::VoteRequest& aRequest)
+{
+  const ReplicatedLog& log = aState.log_;
+  if (aRequest.added_index() <= log.baseIndex_) {
+    return true;
+  }
+  return std::ranges::any_of(log.members_, [&](const auto& aItem) {
+    const auto& [index, members] = aItem;
+    return index > aRequest.before_index() &&
+           IsVoter(members, aState.settings_.self_);
+  });
+}
+
+// Whether each committed entry of this log is in the candidate's, too, as far
+// as this host's answers have committed it: consensus.md.
 bool
 MayLead(const ConsensusState& aState, const wire::VoteRequest& aRequest)
 {
-  const foundation::HostId& self = aState.settings_.self_;
-  const bool counted =
-    IsVoter(Members(aState), self) ||
-    IsVoter(MembersAt(aState.log_, aState.commitIndex_), self);
+  const bool added =
+    aRequest.added_index() > 0 && aState.settings_.guards_.addedVotes_;
   return IsUpToDate(aState.log_, aRequest) ||
-         (aRequest.added() && !counted && aState.settings_.guards_.addedVotes_);
+         (added && !MayHaveCounted(aState, aRequest));
 }
 
 // Leader leases depend on this check: no vote is granted while a leader may
--- a/packages/core/consensus/replicatedlog.cpp
+++ b/packages/core/consensus/replicatedlog.cpp
@@ -179,12 +179,18 @@
   return readmitted ? 0 : admitted;
 }
 
-bool
-IsAdded(const ReplicatedLog& aLog, std::string_view aHost)
+std::optional<AddingChange>
+FindAddingChange(const ReplicatedLog& aLog, std::string_view aHost)
 {
   const auto& history = aLog.members_;
-  return history.size() > 1 && IsVoter(history.back().second, aHost) &&
-         !IsVoter(history[history.size() - 2].second, aHost);
+  if (history.size() < 2) {
+    return std::nullopt;
+  }
+  const auto& [index, latest] = history.back();
+  const auto& [beforeIndex, before] = history[history.size() - 2];
+  const bool adds = IsVoter(latest, aHost) && !IsVoter(before, aHost);
+  return adds ? std::optional(AddingChange{ index, beforeIndex })
+              : std::nullopt;
 }
 
 std::uint64_t
--- a/packages/core/consensus/replicatedlog.h
+++ b/packages/core/consensus/replicatedlog.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -112,9 +113,16 @@
 std::uint64_t
 GetVotingIncarnation(const ReplicatedLog& aLog, std::string_view aHost);
 
-//! True if the latest change adds the host as a voter.
-bool
-IsAdded(const ReplicatedLog& aLog, std::string_view aHost);
+//! A change that adds a voter, and the change before it, which is committed.
+struct AddingChange
+{
+  std::uint64_t index_ = 0;
+  std::uint64_t beforeIndex_ = 0;
+};
+
+//! The latest change if it adds the host as a voter.
+std::optional<AddingChange>
+FindAddingChange(const ReplicatedLog& aLog, std::string_view aHost);
 
 //! The incarnation with which a host is admitted; zero, the incarnation of the
 //! founders, if none is listed.
--- a/packages/core/consensus/tests/election_tests.cpp
+++ b/packages/core/consensus/tests/election_tests.cpp
@@ -210,64 +210,102 @@
   CHECK(network.violations_.empty());
 }
 
-// Guards against a newcomer that refuses the only candidate because of an entry
-// that counts for nothing (issue 54).
-TEST_CASE("a host votes for a candidate that adds it, whatever it holds itself",
-          "[consensus][election]")
+namespace {
+
+constexpr std::uint64_t kCandidateTerm = 2; //!< of the candidate's last entry
+constexpr std::uint64_t kBeforeIndex = 3;   //!< committed, without host d
+constexpr std::uint64_t kAddedIndex = 5;    //!< adds host d
+
+//! A log of seven entries, the last one of a later term than the candidate's.
+struct OwnLog
+{
+  std::uint64_t baseIndex_ = 0;
+  std::vector<std::uint64_t> addedAt_;   //!< changes that have d as a voter
+  std::vector<std::uint64_t> removedAt_; //!< changes that don't
+};
+
+ConsensusState
+MakeHost(const OwnLog& aLog, const Guards& aGuards, foundation::Instant aNow)
 {
-  struct Row
-  {
-    bool added_;            //!< by the candidate's latest change
-    bool isVoter_;          //!< in its own log
-    std::uint64_t ownTerm_; //!< of the last entry in its own log
-    bool granted_;
-    Guards guards_;
-  };
-  constexpr std::uint64_t kCandidateTerm = 2; //!< of its last entry
-  const auto row = GENERATE(values<Row>({
-    { true, false, kCandidateTerm + 1, true },
-    { true, false, kCandidateTerm, true },
-    { true, false, kCandidateTerm + 1, false, { .addedVotes_ = false } },
-    { true, true, kCandidateTerm + 1, false },
-    { false, false, kCandidateTerm + 1, false },
-    { false, false, kCandidateTerm, true },
-  }));
-  constexpr foundation::Instant kStart{ 1000s };
   ConsensusSettings settings;
   settings.self_ = "d";
-  settings.guards_ = row.guards_;
+  settings.guards_ = aGuards;
   wire::HardState hardState;
-  hardState.set_term(row.ownTerm_);
-  hardState.set_incarnation(7);
-  wire::ConsensusEntry members;
-  members.set_index(1);
-  members.set_term(1);
-  auto& list = *members.mutable_record()->mutable_members();
-  list.add_voters("a");
-  *(row.isVoter_ ? list.add_voters() : list.add_learners()) = "d";
-  wire::ConsensusEntry last;
-  last.set_index(2);
-  last.set_term(row.ownTerm_);
-  const wire::ConsensusEntry entries[] = { members, last };
-  ConsensusState state =
-    MakeConsensusState(settings, hardState, {}, entries, kStart);
+  hardState.set_term(kCandidateTerm + 1);
+  wire::MemberSnapshot snapshot;
+  snapshot.set_last_index(aLog.baseIndex_);
+  snapshot.mutable_members()->add_voters("a");
+  std::vector<wire::ConsensusEntry> entries;
+  for (std::uint64_t index = aLog.baseIndex_ + 1; index <= 7; ++index) {
+    wire::ConsensusEntry& entry = entries.emplace_back();
+    entry.set_index(index);
+    entry.set_term(index == 7 ? kCandidateTerm + 1 : 1);
+    const bool adds = std::ranges::count(aLog.addedAt_, index) > 0;
+    if (adds || std::ranges::count(aLog.removedAt_, index) > 0) {
+      auto& members = *entry.mutable_record()->mutable_members();
+      members.add_voters("a");
+      *(adds ? members.add_voters() : members.add_learners()) = "d";
+    }
+  }
+  return MakeConsensusState(settings, hardState, snapshot, entries, aNow);
+}
 
+bool
+GrantsVote(ConsensusState& aState, bool aAdded, foundation::Instant aNow)
+{
   wire::ConsensusMessage message;
   message.set_from("a");
   message.set_to("d");
-  message.set_term(row.ownTerm_ + 1);
+  message.set_term(kCandidateTerm + 2);
   auto& request = *message.mutable_vote_request();
-  request.set_last_index(2);
+  request.set_last_index(kAddedIndex);
   request.set_last_term(kCandidateTerm);
-  request.set_added(row.added_);
+  request.set_added_index(aAdded ? kAddedIndex : 0);
+  request.set_before_index(aAdded ? kBeforeIndex : 0);
   std::vector<Action> actions;
-  Step(state, MessageReceived{ message }, kStart + 10s, actions);
+  Step(aState, MessageReceived{ message }, aNow, actions);
   const auto sent = std::ranges::find_if(actions, [](const Action& aAction) {
     return std::holds_alternative<SendMessage>(aAction);
   });
-  REQUIRE(sent != actions.end());
-  CHECK(std::get<SendMessage>(*sent).message_.vote_reply().granted() ==
-        row.granted_);
+  return sent != actions.end() &&
+         std::get<SendMessage>(*sent).message_.vote_reply().granted();
+}
+
+} // namespace
+
+// Guards against a newcomer that refuses the only candidate because of an entry
+// that counts for nothing, and against one that votes although its answers have
+// counted since (issue 54).
+TEST_CASE(
+  "a host votes for a candidate that adds it unless its answers may have "
+  "counted",
+  "[consensus][election]")
+{
+  struct Row
+  {
+    std::string name_;
+    OwnLog log_;
+    bool added_ = true;
+    bool granted_ = false;
+    Guards guards_;
+  };
+  const auto row = GENERATE(values<Row>({
+    { "a newcomer", {}, true, true },
+    { "a newcomer from a snapshot", { kAddedIndex - 1 }, true, true },
+    { "a voter long before, removed since", { 0, { 1 }, { 2 } }, true, true },
+    { "not added by the candidate", {}, false, false },
+    { "a voter in its own log", { 0, { kAddedIndex }, {} }, true, false },
+    { "added and removed again", { 0, { kAddedIndex }, { 6 } }, true, false },
+    { "added by another change", { 0, { 4 }, { 6 } }, true, false },
+    { "the change is before its log", { kAddedIndex, {}, {} }, true, false },
+    { "compares logs always", {}, true, false, { .addedVotes_ = false } },
+  }));
+  INFO(row.name_);
+  constexpr foundation::Instant kStart{ 1000s };
+  ConsensusState state = MakeHost(row.log_, row.guards_, kStart);
+  // The host has recovered: only the logs are compared.
+  state.hardState_.set_recovering(false);
+  CHECK(GrantsVote(state, row.added_, kStart + 10s) == row.granted_);
 }
 
 } // namespace wigeonlb::core::consensus
