--- a/packages/core/consensus/internal/replication.cpp
+++ b/packages/core/consensus/internal/replication.cpp
@@ -336,6 +336,27 @@
   return CheckChange(aState, aChange, aNow) == ChangeRefusal::None;
 }
 
+namespace {
+
+//! A request without entries, after the last one that the member may have.
+wire::ConsensusMessage
+MakeHeartbeat(const StepContext& aContext,
+              const foundation::HostId& aHost,
+              const Progress& aProgress)
+{
+  const ConsensusState& state = aContext.state_;
+  wire::ConsensusMessage message = NewMessage(state, aHost);
+  wire::AppendRequest& request = *message.mutable_append_request();
+  request.set_previous_index(aProgress.next_ - 1);
+  request.set_previous_term(TermAt(state.log_, aProgress.next_ - 1));
+  request.set_commit_index(state.commitIndex_);
+  request.set_round(aContext.now_.time_since_epoch().count());
+  request.set_replaces_voters(ReplacesVoters(state, aContext.now_));
+  return message;
+}
+
+} // namespace
+
 void
 SendUpdate(StepContext& aContext, const foundation::HostId& aHost)
 {
@@ -347,28 +368,47 @@
   }
   progress.inFlightSince_ = aContext.now_;
   if (progress.next_ <= state.log_.baseIndex_) {
-    SendSnapshotPart(aContext, aHost, progress);
+    const std::size_t bytes = state.settings_.snapshotChunkBytes_;
+    SendSnapshotPart(aContext, aHost, progress, bytes);
     return;
   }
   progress.snapshot_.reset();
-  wire::ConsensusMessage message = NewMessage(state, aHost);
-  wire::AppendRequest& request = *message.mutable_append_request();
-  request.set_previous_index(progress.next_ - 1);
-  request.set_previous_term(TermAt(state.log_, progress.next_ - 1));
-  request.set_commit_index(state.commitIndex_);
-  request.set_round(aContext.now_.time_since_epoch().count());
-  request.set_replaces_voters(ReplacesVoters(state, aContext.now_));
-  FillEntries(state, progress.next_, request);
+  wire::ConsensusMessage message = MakeHeartbeat(aContext, aHost, progress);
+  FillEntries(state, progress.next_, *message.mutable_append_request());
   Send(aContext, std::move(message));
 }
 
+namespace {
+
+//! Sends a request without content while another one is in flight, so that a
+//! member that is held up is sent each entry once. If the one in flight is
+//! lost, it is sent again after the answer to this one.
+void
+SendHeartbeat(StepContext& aContext,
+              const foundation::HostId& aHost,
+              Progress& aProgress)
+{
+  if (aProgress.next_ <= aContext.state_.log_.baseIndex_) {
+    SendSnapshotPart(aContext, aHost, aProgress, 0);
+    return;
+  }
+  Send(aContext, MakeHeartbeat(aContext, aHost, aProgress));
+}
+
+} // namespace
+
 void
 BroadcastUpdates(StepContext& aContext)
 {
   ConsensusState& state = aContext.state_;
   state.heartbeatDue_ = aContext.now_ + state.settings_.heartbeatInterval_;
   for (const foundation::HostId& host : OtherMembers(state)) {
-    SendUpdate(aContext, host);
+    const auto found = state.progress_.find(host);
+    if (found != state.progress_.end() && found->second.inFlightSince_) {
+      SendHeartbeat(aContext, host, found->second);
+    } else {
+      SendUpdate(aContext, host);
+    }
     ++state.progress_[host].unansweredRounds_;
   }
 }
@@ -418,7 +458,10 @@
   const foundation::Instant sentAt{ foundation::Duration(aRound) };
   progress.answeredSentAt_ = std::max(
     progress.answeredSentAt_, std::optional<foundation::Instant>(sentAt));
-  progress.inFlightSince_.reset();
+  // An answer to an earlier request says nothing of the one in flight.
+  if (progress.inFlightSince_ && sentAt >= *progress.inFlightSince_) {
+    progress.inFlightSince_.reset();
+  }
   return &progress;
 }
 
@@ -481,6 +524,9 @@
     RecordMatch(aContext, aMessage.from(), reply.match_index());
     return;
   }
+  if (progress->inFlightSince_) {
+    return; // a late refusal
+  }
   const std::uint64_t next =
     std::min(reply.match_index(), LastIndex(aContext.state_.log_)) + 1;
   progress->next_ = std::max(next, progress->match_ + 1);
--- a/packages/core/consensus/internal/replication.h
+++ b/packages/core/consensus/internal/replication.h
@@ -13,7 +13,8 @@
 void
 SendUpdate(StepContext& aContext, const foundation::HostId& aHost);
 
-//! Sends an update to every other member.
+//! Sends an update to every other member that has answered the one before, and
+//! a heartbeat to the others.
 void
 BroadcastUpdates(StepContext& aContext);
 
--- a/packages/core/consensus/internal/snapshottransfer.cpp
+++ b/packages/core/consensus/internal/snapshottransfer.cpp
@@ -74,7 +74,8 @@
 void
 SendSnapshotPart(StepContext& aContext,
                  const foundation::HostId& aHost,
-                 Progress& aProgress)
+                 Progress& aProgress,
+                 std::size_t aMaxBytes)
 {
   const ConsensusState& state = aContext.state_;
   if (!aProgress.snapshot_) {
@@ -83,8 +84,7 @@
   }
   const StoredSnapshot& snapshot = *aProgress.snapshot_;
   const std::size_t offset = aProgress.snapshotOffset_;
-  const std::size_t size = std::min(snapshot.bytes_.size() - offset,
-                                    state.settings_.snapshotChunkBytes_);
+  const std::size_t size = std::min(snapshot.bytes_.size() - offset, aMaxBytes);
   wire::ConsensusMessage message = NewMessage(state, aHost);
   wire::SnapshotRequest& request = *message.mutable_snapshot_request();
   request.set_last_index(snapshot.index_);
@@ -134,7 +134,7 @@
     RecordMatch(aContext, aMessage.from(), reply.last_index());
     return;
   }
-  if (!progress->snapshot_) {
+  if (!progress->snapshot_ || progress->inFlightSince_) {
     return; // a late answer
   }
   const std::uint64_t offset = std::min<std::uint64_t>(
--- a/packages/core/consensus/internal/snapshottransfer.h
+++ b/packages/core/consensus/internal/snapshottransfer.h
@@ -4,12 +4,14 @@
 
 namespace wigeonlb::core::consensus {
 
-//! Sends the next part of the latest snapshot to a member that needs entries
-//! before the start of the log.
+//! Sends the next part of the latest snapshot, of at most aMaxBytes, to a
+//! member that needs entries before the start of the log. An empty part is a
+//! heartbeat.
 void
 SendSnapshotPart(StepContext& aContext,
                  const foundation::HostId& aHost,
-                 Progress& aProgress);
+                 Progress& aProgress,
+                 std::size_t aMaxBytes);
 
 void
 HandleSnapshotRequest(StepContext& aContext,
--- a/packages/core/consensus/tests/logsize_tests.cpp
+++ b/packages/core/consensus/tests/logsize_tests.cpp
@@ -33,14 +33,20 @@
   }
 }
 
-SimulatedNetwork
-MakeChangedNetwork(int aChanges)
+NetworkSettings
+MakeSettings()
 {
   NetworkSettings settings;
   settings.lossPercent_ = 0;
   settings.latePerMille_ = 0;
   settings.smallParts_ = false;
-  SimulatedNetwork network = MakeNetwork(settings);
+  return settings;
+}
+
+SimulatedNetwork
+MakeChangedNetwork(int aChanges, const NetworkSettings& aSettings)
+{
+  SimulatedNetwork network = MakeNetwork(aSettings);
   Run(network, 2s);
   Change(network, aChanges);
   return network;
@@ -59,7 +65,7 @@
 TEST_CASE("a member's log is bounded by bytes", "[consensus][logsize]")
 {
   const int changes = GENERATE(40, 130, 400);
-  const SimulatedNetwork network = MakeChangedNetwork(changes);
+  const SimulatedNetwork network = MakeChangedNetwork(changes, MakeSettings());
   for (const auto& [host, member] : network.members_) {
     const ReplicatedLog& log = member.consensus_.log_;
     CHECK(CountEntryBytes(log, log.baseIndex_, LastIndex(log)) <=
@@ -78,7 +84,7 @@
 std::uint64_t
 CatchUp(int aChanges)
 {
-  SimulatedNetwork network = MakeChangedNetwork(aChanges);
+  SimulatedNetwork network = MakeChangedNetwork(aChanges, MakeSettings());
   const HostId blank = FindFollower(network);
   LoseDisk(network, blank);
   Run(network, 1s);
@@ -107,6 +113,43 @@
   CHECK(afterMany <= 1.5 * static_cast<double>(afterFew));
 }
 
+// Guards against a member that is sent the same content with each heartbeat
+// while its disk holds it up, and keeps it all in memory (issue 54).
+TEST_CASE("a member that is held up is sent each entry once",
+          "[consensus][logsize]")
+{
+  struct Row
+  {
+    int changes_; //!< while the member is held up
+    bool blank_;  //!< it needs a snapshot then
+  };
+  const auto row =
+    GENERATE(values<Row>({ { 1, false }, { 10, false }, { 1, true } }));
+  NetworkSettings settings = MakeSettings();
+  settings.duplicatePercent_ = 0;
+  settings.delayRangeMs_ = 1; // as on a link
+  SimulatedNetwork network = MakeChangedNetwork(20, settings);
+  const HostId slow = FindFollower(network);
+  if (row.blank_) {
+    LoseDisk(network, slow);
+    Start(network, slow);
+  }
+  network.bytesSentTo_[slow] = 0;
+  network.heldUp_.insert(slow);
+  Change(network, row.changes_);
+  Run(network, 6s);
+  CHECK(network.bytesSentTo_[slow] <= 1.1 * kChangeBytes);
+  network.heldUp_.erase(slow);
+  Feed(network, slow, Tick{});
+  Run(network, 2s);
+  const ConsensusState& state = network.members_[slow].consensus_;
+  CHECK(LastIndex(state.log_) ==
+        LastIndex(network.members_[Leader(network)].consensus_.log_));
+  if (!row.blank_) {
+    CHECK(network.bytesSentTo_[slow] <= 1.1 * row.changes_ * kChangeBytes);
+  }
+}
+
 // Guards against a transfer that starts anew with each new snapshot (issue 32).
 TEST_CASE("a snapshot that is replaced while it is sent is sent to its end",
           "[consensus][logsize]")
--- a/packages/core/consensus/tests/simulatednetwork.cpp
+++ b/packages/core/consensus/tests/simulatednetwork.cpp
@@ -82,7 +82,7 @@
   int copies = Chance(aNetwork, 10 * aNetwork.settings_.duplicatePercent_) + 1;
   while (copies-- > 0) {
     const bool late = Chance(aNetwork, aNetwork.settings_.latePerMille_);
-    const int range = late ? 3000 : 25;
+    const int range = late ? 3000 : aNetwork.settings_.delayRangeMs_;
     const Duration delay =
       std::chrono::milliseconds(1 + aNetwork.random_() % range);
     aNetwork.inFlightMessages_.push_back({ aNetwork.now_ + delay, aMessage });
--- a/packages/core/consensus/tests/simulatednetwork.h
+++ b/packages/core/consensus/tests/simulatednetwork.h
@@ -91,6 +91,8 @@
   int lossPercent_ = 5;
   int duplicatePercent_ = 5;
   int latePerMille_ = 20; //!< messages that are delayed by up to 3 s
+  //! The others are delayed by up to this time; 1: they arrive in order.
+  int delayRangeMs_ = 25;
   //! Small batches and snapshots, so that short runs transfer several; off: the
   //! defaults of ConsensusSettings.
   bool smallParts_ = true;
