--- a/packages/core/consensus/consensus.cpp
+++ b/packages/core/consensus/consensus.cpp
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "core/consensus/internal/election.h"
+#include "core/consensus/internal/memberchange.h"
 #include "core/consensus/internal/messagecheck.h"
 #include "core/consensus/internal/recovery.h"
 #include "core/consensus/internal/replication.h"
--- a/packages/core/consensus/internal/recovery.cpp
+++ b/packages/core/consensus/internal/recovery.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/consensus/internal/memberchange.h"
 #include "core/consensus/internal/replication.h"
 
 namespace wigeonlb::core::consensus {
