--- a/review/standins3.py
+++ b/review/standins3.py
@@ -402,6 +402,7 @@
         self.sync_replicas = sync_replicas
         self.fence = 0
         self.promotions = []  # servers, in the order of their promotions
+        self.promoting = set()  # servers that are about to lead
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="wigeonlb-review-"))
         block = random.randrange(1, 250)
         ips = [f"127.{block}.{zone}.{number}" for zone in (1, 2, 3)
@@ -473,9 +474,11 @@
         writer.write(b"HTTP/1.1 %s\r\nContent-Length: 2\r\nConnection: close"
                      b"\r\n\r\n{}" % (b"200 OK" if accepted else b"409 Conflict"))
         writer.close()
-        if accepted and server.role != "primary" and server not in self.promotions:
+        if accepted and server.role != "primary" and server not in self.promoting:
             self.promotions.append(server)
+            self.promoting.add(server)
             await asyncio.sleep(0.6)
+            self.promoting.remove(server)
             self.primary().role = "replica"
             self.term += 1
             server.role = "primary"
