review: the scripts write each line at once and always end their processes

An unexpected error of a script exited with 1, as if the rule were broken; now with 2. A script that got SIGTERM hung and left its processes (seen with case 14); now it ends them, removes its folder and exits with 2: seen with SIGTERM and SIGINT, no process left. The checks are unchanged.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -9,6 +9,8 @@
 from standins3 import (  # noqa: E402
     CannotRun, Client, HEARTBEAT_MS, ROUTES, Server, World, http, play, served)
 
+RECORD = pathlib.Path(__file__).resolve().parent / "record.txt"
+
 TRIALS = 8  # each with a new system; the first break ends the case
 SETTLED_S = 1.0
 PROMOTED_S = 10.0
@@ -107,4 +109,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(play(case, pathlib.Path(__file__).parent, sync_replicas=1))
+    sys.exit(play(case, RECORD, sync_replicas=1))
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -37,16 +37,14 @@
     """What was sent, answered and run, with the seconds since the start."""
 
     def __init__(self, path):
-        self.path = path
+        self.file = open(path, "w", buffering=1)  # each line at once
         self.start = time.monotonic()
         self.lines = []
 
     def __call__(self, text):
         line = f"{time.monotonic() - self.start:8.3f} {text}"
         self.lines.append(line)
-
-    def write(self):
-        pathlib.Path(self.path).write_text("\n".join(self.lines) + "\n")
+        self.file.write(line + "\n")
 
 
 def show(text):
@@ -309,6 +307,8 @@
 class Host:
     """One process of wigeonlb, started as the deploy file says."""
 
+    started = []  # every process of this run
+
     def __init__(self, world, role, name, ip, zone):
         self.world, self.role, self.name, self.ip, self.zone = (
             world, role, name, ip, zone)
@@ -346,6 +346,7 @@
             self.process = subprocess.Popen(
                 self.role["run"].split(), cwd=ROOT, env=environment,
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+        Host.started.append(self.process)
         self.world.record(f"{self.name} starts")
 
     def resident_mb(self):
@@ -396,6 +397,7 @@
     """A small deployment: control and entry hosts, one service of three servers."""
 
     ZONES = ("casa-ain", "rabat-sal", "kenitra")
+    folders = []  # of this run
 
     def __init__(self, record, entries=3, sync_replicas=0):
         self.record = record
@@ -404,6 +406,7 @@
         self.promotions = []  # servers, in the order of their promotions
         self.promoting = set()  # servers that are about to lead
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="wigeonlb-review-"))
+        World.folders.append(self.folder)
         block = random.randrange(1, 250)
         ips = [f"127.{block}.{zone}.{number}" for zone in (1, 2, 3)
                for number in (1, 2, 3, 4)] + [f"127.{block}.9.1"]
@@ -628,10 +631,20 @@
     await until(write, 30, f"a write is served through {host.name}")
 
 
-def play(case, folder, entries=3, sync_replicas=0):
+def end_all():
+    """Ends every process that was started and removes the temporary folders."""
+    for process in Host.started:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+    for folder in World.folders:
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+def play(case, record_path, entries=3, sync_replicas=0):
     """Runs a case; returns the exit code: 1 broken, 0 held, 2 not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(pathlib.Path(folder) / "record.txt")
+    record = Record(record_path)
     record("with the disruption" if trouble else "without the disruption")
 
     async def run():
@@ -643,18 +656,21 @@
             await world.stop()
 
     def end(_number, _frame):
-        raise KeyboardInterrupt
+        # Not by an exception: the event loop might wait for its tasks.
+        record("ended from outside")
+        end_all()
+        os._exit(2)
 
-    signal.signal(signal.SIGTERM, end)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end)
     try:
         broken = asyncio.run(run())
         code = 1 if broken else 0
         record(f"broken: {broken}" if broken else "the rule held")
-    except (CannotRun, OSError) as error:
+    except Exception as error:  # an error of the script is no break of a rule
         record(f"could not run: {error!r}")
         code = 2
-    except KeyboardInterrupt:
-        code = 2
-    record.write()
+    finally:
+        end_all()
     print("\n".join(record.lines[-3:]))
     return code
