--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -125,6 +125,7 @@
   agent.self_.set_boot(boot_);
   agent.self_.set_control_only(!settings::AcceptsCallers(settings_));
   agent.self_.set_may_vote(settings::MayBecomeControlMember(settings_));
+  agent.self_.set_knows_epochs(true);
   agent.members_ = ListMemberNames(settings_);
   agent.expectsConfiguration_ = !settings_.controlSeeds_.empty();
   agent.heartbeatInterval_ = settings_.heartbeatInterval_;
@@ -411,7 +412,7 @@
 
 void
 ControlRuntime::PostReleased(const foundation::GroupName& aGroup,
-                             std::uint64_t aTerm)
+                             foundation::TermEpoch aTerm)
 {
   boost::asio::post(
     context_, [this, aGroup, aTerm] { agent_->OnReleased(aGroup, aTerm); });
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -55,7 +55,8 @@
   void PostReports(std::vector<wire::TargetReport> aReports);
   void PostConnections(const foundation::GroupName& aGroup,
                        std::uint32_t aConnections);
-  void PostReleased(const foundation::GroupName& aGroup, std::uint64_t aTerm);
+  void PostReleased(const foundation::GroupName& aGroup,
+                    foundation::TermEpoch aTerm);
   //! Tells the other hosts that this one is to stop.
   void PostDraining();
   //! True once this host is known to be stopping and its control member, if
--- a/apps/wigeonlbd/control/hostagent.cpp
+++ b/apps/wigeonlbd/control/hostagent.cpp
@@ -289,7 +289,8 @@
 }
 
 void
-HostAgent::OnReleased(const foundation::GroupName& aGroup, std::uint64_t aTerm)
+HostAgent::OnReleased(const foundation::GroupName& aGroup,
+                      foundation::TermEpoch aTerm)
 {
   Feed(grants::DrainedForRelease{ aGroup, aTerm });
 }
@@ -310,9 +311,9 @@
 void
 HostAgent::ReleaseAll()
 {
-  std::vector<std::pair<foundation::GroupName, std::uint64_t>> held;
+  std::vector<std::pair<foundation::GroupName, foundation::TermEpoch>> held;
   for (const auto& [group, grant] : holder_.grants_) {
-    held.emplace_back(group, grant.grant_.term());
+    held.emplace_back(group, foundation::GetTermEpoch(grant.grant_));
   }
   for (const auto& [group, term] : held) {
     Feed(grants::DrainedForRelease{ group, term });
@@ -326,6 +327,13 @@
 HostAgent::Feed(const grants::HolderEvent& aEvent)
 {
   std::vector<grants::HolderAction> actions;
+  // Before the event, which may release a grant.
+  for (wire::AcknowledgedWrites& writes : traffic_.Acknowledged().Take()) {
+    grants::Step(holder_,
+                 grants::WritesAcknowledged{ std::move(writes) },
+                 SteadyNow(),
+                 actions);
+  }
   grants::Step(holder_, aEvent, SteadyNow(), actions);
   for (const grants::HolderAction& action : actions) {
     std::visit([this](const auto& aAction) { Execute(aAction); }, action);
@@ -360,6 +368,7 @@
     event.grant_ = core::traffic::HeldGrant{
       grant.term(), grant.primary(), grant.connection_share(), aAction.expires_
     };
+    event.grant_->epoch_ = grant.epoch();
     for (const grants::HolderKey& holder : aAction.ended_) {
       event.grant_->endedHolders_.push_back(
         target::MakeApplicationName(holder.host_, holder.boot_));
@@ -374,6 +383,7 @@
   core::traffic::StopNewWrites event;
   event.term_ = aAction.term_;
   event.revoked_ = aAction.revoked_;
+  event.epoch_ = aAction.epoch_;
   event.drain_ =
     std::max(aAction.releaseBy_ - SteadyNow(), foundation::Duration::zero());
   traffic_.StopNewWrites(aAction.group_, event);
--- a/apps/wigeonlbd/control/hostagent.h
+++ b/apps/wigeonlbd/control/hostagent.h
@@ -80,7 +80,8 @@
   //! Replaces the control members that this host's own log names; they are
   //! asked like those named in the settings.
   void OnStoredMembers(std::vector<foundation::HostId> aMembers);
-  void OnReleased(const foundation::GroupName& aGroup, std::uint64_t aTerm);
+  void OnReleased(const foundation::GroupName& aGroup,
+                  foundation::TermEpoch aTerm);
   //! Brings the next heartbeat forward to receive a configuration update.
   void ExpediteHeartbeat();
   void StartDraining();
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -58,7 +58,7 @@
     return control_->SendForward(aHost, std::move(aMessage));
   };
   callbacks.onTermReleased_ = [this](const foundation::GroupName& aGroup,
-                                     std::uint64_t aTerm) {
+                                     foundation::TermEpoch aTerm) {
     control_->PostReleased(aGroup, aTerm);
   };
   callbacks.onReports_ = [this](std::vector<wire::TargetReport> aReports) {
--- a/apps/wigeonlbd/tests/shardfixture.h
+++ b/apps/wigeonlbd/tests/shardfixture.h
@@ -20,7 +20,10 @@
 {
 public:
   MAKE_MOCK2(OnTermReleased,
-             void(const foundation::GroupName&, std::uint64_t),
+             void(const foundation::GroupName&, foundation::TermEpoch),
+             override);
+  MAKE_MOCK1(OnWritesAcknowledged,
+             void(const wire::AcknowledgedWrites&),
              override);
   MAKE_MOCK1(OnReachabilityChanged,
              void(const foundation::GroupName&),
--- a/apps/wigeonlbd/traffic/ownergroup.cpp
+++ b/apps/wigeonlbd/traffic/ownergroup.cpp
@@ -469,4 +469,10 @@
   listener_.OnTermReleased(settings_.group_, aAction.term_);
 }
 
+void
+OwnerGroup::Execute(const core_traffic::WritesAcknowledged& aAction)
+{
+  listener_.OnWritesAcknowledged(aAction.writes_);
+}
+
 } // namespace wigeonlb::daemon::traffic
--- a/apps/wigeonlbd/traffic/ownergroup.h
+++ b/apps/wigeonlbd/traffic/ownergroup.h
@@ -29,7 +29,10 @@
 
   //! No request is in flight under the term any more.
   virtual void OnTermReleased(const foundation::GroupName& aGroup,
-                              std::uint64_t aTerm) = 0;
+                              foundation::TermEpoch aTerm) = 0;
+  //! Called before the callers get the answers that it includes.
+  virtual void OnWritesAcknowledged(
+    const wire::AcknowledgedWrites& aWrites) = 0;
   //! A target has become unreachable or reachable again.
   virtual void OnReachabilityChanged(const foundation::GroupName& aGroup) = 0;
 };
@@ -132,6 +135,7 @@
   void Log(const OwnedSession& aSession, const core::traffic::Finish& aFinish);
   void Execute(const core::traffic::CancelOnTarget& aAction);
   void Execute(const core::traffic::TermReleased& aAction);
+  void Execute(const core::traffic::WritesAcknowledged& aAction);
 
   GroupConnection* FindConnection(core::traffic::ConnectionId aId);
   ConnectionPointer MakeConnection(core::traffic::ConnectionId aId,
--- a/apps/wigeonlbd/traffic/trafficruntime.cpp
+++ b/apps/wigeonlbd/traffic/trafficruntime.cpp
@@ -221,7 +221,7 @@
     if (aOwner != nullptr) {
       aOwner->OnStopNewWrites(event);
     } else {
-      callbacks_.onTermReleased_(aGroup, event.term_);
+      callbacks_.onTermReleased_(aGroup, { event.term_, event.epoch_ });
     }
   });
 }
@@ -305,11 +305,17 @@
 
 void
 TrafficRuntime::OnTermReleased(const foundation::GroupName& aGroup,
-                               std::uint64_t aTerm)
+                               foundation::TermEpoch aTerm)
 {
   callbacks_.onTermReleased_(aGroup, aTerm);
 }
 
+void
+TrafficRuntime::OnWritesAcknowledged(const wire::AcknowledgedWrites& aWrites)
+{
+  acknowledged_.Set(aWrites);
+}
+
 void
 TrafficRuntime::OnReachabilityChanged(const foundation::GroupName& aGroup)
 {
--- a/apps/wigeonlbd/traffic/trafficruntime.h
+++ b/apps/wigeonlbd/traffic/trafficruntime.h
@@ -12,6 +12,7 @@
 
 #include "caller/callerserver.h"
 #include "settings/daemonsettings.h"
+#include "traffic/acknowledgedreports.h"
 #include "traffic/trafficshard.h"
 
 namespace wigeonlb::daemon::traffic {
@@ -24,7 +25,7 @@
     sendToPeer_;
   //! No request is in flight under the term any more. Called on any traffic
   //! thread.
-  std::function<void(const foundation::GroupName&, std::uint64_t)>
+  std::function<void(const foundation::GroupName&, foundation::TermEpoch)>
     onTermReleased_;
   //! The current reports of a group's targets. Called on any traffic thread.
   std::function<void(std::vector<wire::TargetReport>)> onReports_;
@@ -98,6 +99,9 @@
   void WithEachShard(const std::function<void(TrafficShard&)>& aFunction);
   std::size_t ShardCount() const { return shards_.size(); }
 
+  //! What this host has acknowledged, for the control leader.
+  AcknowledgedReports& Acknowledged() { return acknowledged_; }
+
   //! Collects the reports and connection limits of all owner groups; the
   //! results arrive by onReports_ and onConnections_.
   void CollectReports();
@@ -122,7 +126,8 @@
   };
 
   void OnTermReleased(const foundation::GroupName& aGroup,
-                      std::uint64_t aTerm) override;
+                      foundation::TermEpoch aTerm) override;
+  void OnWritesAcknowledged(const wire::AcknowledgedWrites& aWrites) override;
   void OnReachabilityChanged(const foundation::GroupName& aGroup) override;
   Thread& GetGroupThread(const foundation::GroupName& aGroup);
   Thread& GetSessionThread(std::uint64_t aSession);
@@ -131,6 +136,7 @@
   foundation::HostId host_;
   std::uint64_t boot_;
   TrafficCallbacks callbacks_;
+  AcknowledgedReports acknowledged_;
   std::vector<std::unique_ptr<Thread>> shards_;
   std::unique_ptr<caller::CallerServer> server_;
   std::vector<
--- a/packages/core/configuration/applyrecord.cpp
+++ b/packages/core/configuration/applyrecord.cpp
@@ -182,6 +182,9 @@
     case wire::ControlRecord::kFence:
       ApplyDecision(aState, aRecord.fence(), result);
       break;
+    case wire::ControlRecord::kResume:
+      ApplyDecision(aState, aRecord.resume(), result);
+      break;
     case wire::ControlRecord::kChoose:
       ApplyDecision(aState, aRecord.choose(), result);
       break;
--- a/packages/core/configuration/internal/decisions.cpp
+++ b/packages/core/configuration/internal/decisions.cpp
@@ -1,6 +1,7 @@
 #include "core/configuration/internal/decisions.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <google/protobuf/util/message_differencer.h>
 
@@ -31,24 +32,28 @@
            [&](const auto& aState) { return aState.target() == aTarget; });
 }
 
+// A later position replaces the recorded one.
 void
-AddDeparted(wire::GroupState& aGroup, const wire::DepartedTarget& aDeparted)
+RaiseAcknowledged(wire::GroupState& aGroup,
+                  std::uint64_t aTerm,
+                  std::uint64_t aOffset)
 {
-  RemoveIf(*aGroup.mutable_departed(), [&](const auto& aOther) {
-    return aOther.target() == aDeparted.target() &&
-           aOther.incarnation() == aDeparted.incarnation();
-  });
-  *aGroup.add_departed() = aDeparted;
+  const auto& known = aGroup.acknowledged();
+  if (std::pair(aTerm, aOffset) > std::pair(known.term(), known.offset())) {
+    aGroup.mutable_acknowledged()->set_term(aTerm);
+    aGroup.mutable_acknowledged()->set_offset(aOffset);
+  }
 }
 
-// A departed target that is back with its data can be read again.
+// Records what may be in the log of a counted target that is removed. Former
+// versions name that target with the last position that was read from it.
 void
-RemoveReturned(wire::GroupState& aGroup, const wire::TargetState& aAdmitted)
+RecordRemoved(wire::GroupState& aGroup,
+              const wire::LogPosition& aAcknowledged,
+              const wire::DepartedTarget& aDeparted)
 {
-  RemoveIf(*aGroup.mutable_departed(), [&](const auto& aDeparted) {
-    return aAdmitted.counted() && aDeparted.target() == aAdmitted.target() &&
-           aDeparted.incarnation() == aAdmitted.incarnation();
-  });
+  RaiseAcknowledged(aGroup, aAcknowledged.term(), aAcknowledged.offset());
+  RaiseAcknowledged(aGroup, aDeparted.read_term(), aDeparted.read_offset());
 }
 
 // The highest term of the group and its history.
@@ -100,7 +105,6 @@
   wire::TargetState* present = MutableTarget(aGroup, name);
   if (!present) {
     *aGroup.add_targets() = admitted;
-    RemoveReturned(aGroup, admitted);
     return "";
   }
   if (admitted.incarnation() < present->incarnation()) {
@@ -112,10 +116,7 @@
     return "target " + name + " is admitted like this already";
   }
   *present = admitted;
-  if (aAdmit.has_replaced()) {
-    AddDeparted(aGroup, aAdmit.replaced());
-  }
-  RemoveReturned(aGroup, admitted);
+  RecordRemoved(aGroup, aAdmit.acknowledged(), aAdmit.replaced());
   return "";
 }
 
@@ -132,8 +133,8 @@
   if (aExpel.gone() && aGroup.primary() == aExpel.target()) {
     return "target " + aExpel.target() + " is the primary";
   }
-  if (aExpel.has_departed() && target->counted()) {
-    AddDeparted(aGroup, aExpel.departed());
+  if (target->counted()) {
+    RecordRemoved(aGroup, aExpel.acknowledged(), aExpel.departed());
   }
   target->set_counted(false);
   if (aGroup.requested_primary() == aExpel.target()) {
@@ -160,6 +161,24 @@
   return "";
 }
 
+std::string
+ApplyToGroup(wire::GroupState& aGroup, const wire::ResumeTerm& aResume)
+{
+  const std::string term = "term " + std::to_string(aResume.term());
+  if (!aGroup.fenced() || aResume.term() != aGroup.term() ||
+      aResume.epoch() != aGroup.epoch()) {
+    return term + " is not fenced in epoch " + std::to_string(aResume.epoch());
+  }
+  if (!aGroup.promoting().empty()) {
+    // The request for the promotion may still be carried out.
+    return "another primary than that of " + term + " is chosen";
+  }
+  aGroup.set_fenced(false);
+  aGroup.set_epoch(aGroup.epoch() + 1);
+  aGroup.set_reason(aResume.reason());
+  return "";
+}
+
 std::string
 ApplyToGroup(wire::GroupState& aGroup, const wire::ChoosePrimary& aChoose)
 {
@@ -229,6 +248,7 @@
   aGroup.clear_promoting();
   // The new primary holds all that was acknowledged before.
   aGroup.clear_departed();
+  aGroup.clear_acknowledged();
   if (aGroup.requested_primary() == aConfirm.target()) {
     aGroup.clear_requested_primary();
   }
--- a/packages/core/configuration/internal/decisions.h
+++ b/packages/core/configuration/internal/decisions.h
@@ -16,6 +16,8 @@
 std::string
 ApplyToGroup(wire::GroupState& aGroup, const wire::FenceTerm& aFence);
 std::string
+ApplyToGroup(wire::GroupState& aGroup, const wire::ResumeTerm& aResume);
+std::string
 ApplyToGroup(wire::GroupState& aGroup, const wire::ChoosePrimary& aChoose);
 std::string
 ApplyToGroup(wire::GroupState& aGroup, const wire::ConfirmPrimary& aConfirm);
--- a/packages/core/configuration/tests/applyrecord_tests.cpp
+++ b/packages/core/configuration/tests/applyrecord_tests.cpp
@@ -103,6 +103,12 @@
     record.mutable_confirm()->set_term(number);
     record.mutable_confirm()->set_target(target);
     record.mutable_confirm()->set_start_offset(100 * number + 1);
+  } else if (verb == "resume") {
+    std::uint64_t epoch = 0;
+    words >> number >> epoch;
+    record.mutable_resume()->set_group("g");
+    record.mutable_resume()->set_term(number);
+    record.mutable_resume()->set_epoch(epoch);
   } else if (verb == "expel") {
     words >> target;
     record.mutable_expel()->set_group("g");
@@ -252,6 +258,18 @@
       "confirm 2 b",
       false },
     { { "choose 1 a", "confirm 1 a" }, "confirm 1 a", false },
+    { { "choose 1 a", "confirm 1 a" }, "resume 1 0", false },
+    { { "choose 1 a", "confirm 1 a", "fence 1" }, "resume 1 0", true },
+    { { "choose 1 a", "confirm 1 a", "fence 1" }, "resume 1 1", false },
+    { { "choose 1 a", "confirm 1 a", "fence 1", "choose 2 b" },
+      "resume 1 0",
+      false },
+    { { "choose 1 a", "confirm 1 a", "fence 1", "resume 1 0", "fence 1" },
+      "resume 1 0",
+      false },
+    { { "choose 1 a", "confirm 1 a", "fence 1", "resume 1 0", "fence 1" },
+      "resume 1 1",
+      true },
     { { "expel b" }, "expel b", false },
     { {}, "expel z", false },
     { {}, "admit b 4", false },
@@ -272,6 +290,28 @@
   }
 }
 
+TEST_CASE("what was acknowledged is kept when a counted target is removed",
+          "[configuration]")
+{
+  wire::ControlState state = StateWithGroup();
+  const auto expel = [&](const std::string& aTarget, std::uint64_t aOffset) {
+    auto record = Decision("expel " + aTarget);
+    record.mutable_expel()->set_gone(true);
+    record.mutable_expel()->mutable_acknowledged()->set_term(1);
+    record.mutable_expel()->mutable_acknowledged()->set_offset(aOffset);
+    REQUIRE(Apply(state, record).changed_);
+    return state.groups().at("g").acknowledged().offset();
+  };
+  for (const char* decision : { "choose 1 a", "confirm 1 a" }) {
+    REQUIRE(Apply(state, Decision(decision)).changed_);
+  }
+  CHECK(expel("b", 120) == 120);
+  CHECK(expel("c", 110) == 120);
+  for (const char* decision : { "admit b 9", "fence 1" }) {
+    REQUIRE(Apply(state, Decision(decision)).changed_);
+  }
+}
+
 TEST_CASE("the history keeps the start offset of each confirmed term",
           "[configuration]")
 {
--- a/packages/core/failover/failover.cpp
+++ b/packages/core/failover/failover.cpp
@@ -46,7 +46,14 @@
 {
   auto& progress = aContext.progress_;
   const auto& group = aContext.group_;
-  if (progress.term_ != group.term() || progress.termSince_ == Instant{}) {
+  const bool isFirstStep = progress.termSince_ == Instant{};
+  if (progress.term_ != group.term() || isFirstStep) {
+    // On the first step, an earlier leader may have issued grants of the term.
+    const bool knowsAllHolders =
+      !isFirstStep && GetAcknowledgement(group) == Acknowledgement::OneReplica;
+    grants::BeginTerm(aContext.state_.grants_.writes_[group.group()],
+                      group.term(),
+                      knowsAllHolders);
     progress.term_ = group.term();
     progress.termSince_ = aContext.now_;
     progress.fenceProposedAt_.reset();
@@ -54,6 +61,7 @@
   if (!group.fenced() && group.promoting().empty()) {
     progress.releasedAt_.reset();
     progress.safeSince_.reset();
+    progress.primaryLeadsSince_.reset();
     progress.failedPromotions_.clear();
   }
 }
@@ -121,6 +129,9 @@
   std::erase_if(aState.groups_, [&](const auto& aItem) {
     return !aControl.groups().contains(aItem.first);
   });
+  std::erase_if(aState.grants_.writes_, [&](const auto& aItem) {
+    return !aControl.groups().contains(aItem.first);
+  });
 }
 
 void
--- a/packages/core/failover/failover.h
+++ b/packages/core/failover/failover.h
@@ -153,17 +153,6 @@
   unsigned count_ = 0;
 };
 
-//! What this leader knows of the departed targets (wire::DepartedTarget).
-struct SettlingDeparted
-{
-  std::string names_;
-  foundation::Instant since_; //!< when these were first seen
-  //! Since when none of them answers any more.
-  std::optional<foundation::Instant> stoppedAt_;
-  //! First position of the primary that was read after stoppedAt_.
-  std::optional<foundation::LogPosition> position_;
-};
-
 //! The leader's volatile state for one group. It is not replicated: a new
 //! leader starts from the group's replicated state and an empty GroupProgress.
 struct GroupProgress
@@ -179,6 +168,8 @@
   std::optional<foundation::Instant> releasedAt_;
   //! Since when at least one target is known to hold every acknowledged write.
   std::optional<foundation::Instant> safeSince_;
+  //! Since when the reads show the primary of the fenced term as leading it.
+  std::optional<foundation::Instant> primaryLeadsSince_;
   std::optional<foundation::Instant> proposedAt_;
   std::optional<foundation::Instant> fenceProposedAt_;
   foundation::Instant revocationsSentAt_; //!< when revocations were last sent
@@ -198,7 +189,6 @@
   std::optional<foundation::Instant> settledAt_;
   //! First position of the primary that was read after settledAt_.
   std::optional<foundation::LogPosition> catchUpPosition_;
-  SettlingDeparted settling_;
   std::string waitingReason_; //!< empty when the group waits for nothing
   std::deque<Decision> decisions_;
 };
@@ -228,8 +218,12 @@
   bool fencesByLeader_ = true;
   //! Promotions are requested only while the leader's lease holds.
   bool promotesUnderLease_ = true;
-  //! A departed target bounds what may be promoted.
-  bool departedBounds_ = true;
+  //! What the hosts have acknowledged bounds what may be promoted.
+  bool acknowledgedBounds_ = true;
+  //! A primary that answers is replaced only by a target that reaches its end.
+  bool primaryBounds_ = true;
+  //! A fenced term goes on under its primary when no target may replace it.
+  bool resumesTerm_ = true;
 };
 
 //! Owners of one group, computed from the live hosts and the group's revision.
--- a/packages/core/failover/internal/announcedtargets.cpp
+++ b/packages/core/failover/internal/announcedtargets.cpp
@@ -37,8 +37,12 @@
          aState.counts_terms() == aAnnouncement.counts_terms();
 }
 
+namespace {
+
+//! The announcements for which aPredicate is true of the entry and its name.
+template<class Predicate>
 std::vector<const wire::Announcement*>
-FindLiveAnnouncements(const GroupContext& aContext)
+FindAnnouncements(const GroupContext& aContext, Predicate aPredicate)
 {
   std::vector<const wire::Announcement*> announcements;
   const auto& targets = aContext.state_.membership_.targets_;
@@ -47,15 +51,35 @@
     return announcements;
   }
   for (const auto& [name, entry] : group->second) {
-    if (entry.announcement_ &&
-        membership::AcceptsNewWork(aContext.state_.membership_,
-                                   aContext.group_.group(),
-                                   name,
-                                   aContext.now_)) {
+    if (entry.announcement_ && aPredicate(name, entry)) {
       announcements.push_back(&*entry.announcement_);
     }
   }
   return announcements;
 }
 
+} // namespace
+
+std::vector<const wire::Announcement*>
+FindReceivingAnnouncements(const GroupContext& aContext)
+{
+  return FindAnnouncements(
+    aContext, [&](const auto&, const membership::TargetEntry& aEntry) {
+      return !aEntry.announcement_->gone() &&
+             aContext.now_ - aEntry.announcedAt_ < membership::kTargetTimeoutMs;
+    });
+}
+
+std::vector<const wire::Announcement*>
+FindLiveAnnouncements(const GroupContext& aContext)
+{
+  return FindAnnouncements(
+    aContext, [&](const auto& aName, const membership::TargetEntry&) {
+      return membership::AcceptsNewWork(aContext.state_.membership_,
+                                        aContext.group_.group(),
+                                        aName,
+                                        aContext.now_);
+    });
+}
+
 } // namespace wigeonlb::core::failover
--- a/packages/core/failover/internal/announcedtargets.h
+++ b/packages/core/failover/internal/announcedtargets.h
@@ -16,6 +16,11 @@
 MatchesAnnouncement(const wire::TargetState& aState,
                     const wire::Announcement& aAnnouncement);
 
+//! Announcements of targets that may receive writes, ordered by name: the live
+//! ones, and those that leave but aren't gone yet.
+std::vector<const wire::Announcement*>
+FindReceivingAnnouncements(const GroupContext& aContext);
+
 //! Announcements of the group's live targets, ordered by name.
 std::vector<const wire::Announcement*>
 FindLiveAnnouncements(const GroupContext& aContext);
--- a/packages/core/failover/internal/candidates.cpp
+++ b/packages/core/failover/internal/candidates.cpp
@@ -5,7 +5,7 @@
 #include <iterator>
 #include <utility>
 
-#include "core/failover/internal/departedtargets.h"
+#include "core/failover/internal/acknowledgedbound.h"
 #include "core/positions/positions.h"
 
 namespace wigeonlb::core::failover {
@@ -25,7 +25,7 @@
            !positions::IsOnAbandonedTerm(aReport, group);
   }
   const auto read = aContext.progress_.reads_.find(aReport.target());
-  return positions::CountsForMajority(aReport, group) && !read->second.rebuilt_;
+  return positions::HoldsUsableLog(aReport, group) && !read->second.rebuilt_;
 }
 
 LogPosition
@@ -53,8 +53,9 @@
     }));
 }
 
-//! Compares by position, then prefers a target that is not draining, then more
-//! owners in the target's data centre, then the smaller name.
+//! Compares by position, then prefers a counted target, then one that is not
+//! draining, then more owners in the target's data centre, then the smaller
+//! name.
 bool
 IsBetter(const GroupContext& aContext,
          const Candidate& aLeft,
@@ -63,6 +64,9 @@
   if (aLeft.position_ != aRight.position_) {
     return aLeft.position_ > aRight.position_;
   }
+  if (aLeft.target_->counted() != aRight.target_->counted()) {
+    return aLeft.target_->counted();
+  }
   if (aLeft.target_->draining() != aRight.target_->draining()) {
     return !aLeft.target_->draining();
   }
@@ -83,9 +87,6 @@
                                    });
 }
 
-//! True for the confirmed primary of the term in force that still leads it. It
-//! was a member of each majority that acknowledged writes in the term, and
-//! began the term with all earlier writes.
 bool
 LeadsTermInForce(const GroupContext& aContext, const Candidate& aCandidate)
 {
@@ -125,7 +126,7 @@
 }
 
 bool
-IsPlanned(const wire::GroupState& aGroup)
+IsRequested(const wire::GroupState& aGroup)
 {
   return !aGroup.requested_primary().empty() &&
          aGroup.requested_primary() != aGroup.primary();
@@ -139,7 +140,7 @@
 {
   const auto best = FindBest(aContext, aCandidates);
   for (const auto& candidate : aCandidates) {
-    if (IsPlanned(aContext.group_) &&
+    if (IsRequested(aContext.group_) &&
         candidate.target_->target() == aContext.group_.requested_primary() &&
         candidate.position_ == best.position_) {
       return candidate;
@@ -154,52 +155,6 @@
   return aCandidate.target_->target() == aContext.group_.primary();
 }
 
-//! The highest position that a write acknowledged by `one_replica` can have;
-//! empty while the reads don't tell. Such a write is in the log of the primary
-//! and in that of another target that counts or has departed: it is not beyond
-//! the primary's end, and not beyond the last of all the others.
-std::optional<LogPosition>
-FindAcknowledgedBound(const GroupContext& aContext,
-                      const std::vector<Candidate>& aCandidates)
-{
-  std::optional<LogPosition> ofPrimary;
-  LogPosition ofOthers;
-  std::size_t othersRead = 0;
-  for (const Candidate& candidate : aCandidates) {
-    if (IsPrimary(aContext, candidate)) {
-      ofPrimary = candidate.position_;
-    } else {
-      ofOthers = std::max(ofOthers, candidate.position_);
-      ++othersRead;
-    }
-  }
-  const auto& group = aContext.group_;
-  const auto others =
-    std::ranges::count_if(group.targets(), [&](const auto& aTarget) {
-      return aTarget.counted() && aTarget.target() != group.primary();
-    });
-  const std::size_t departed = CountMissingDeparted(aContext, aCandidates);
-  if (othersRead < static_cast<std::size_t>(others) + departed) {
-    return ofPrimary;
-  }
-  return ofPrimary ? std::min(*ofPrimary, ofOthers) : ofOthers;
-}
-
-//! The candidates whose log holds every write that one replica has received.
-//! Preferences choose only among these.
-std::vector<Candidate>
-FilterByOneReplica(const GroupContext& aContext,
-                   const std::vector<Candidate>& aCandidates)
-{
-  const auto bound = FindAcknowledgedBound(aContext, aCandidates);
-  std::vector<Candidate> safe;
-  std::ranges::copy_if(
-    aCandidates, std::back_inserter(safe), [&](const Candidate& aCandidate) {
-      return bound && aCandidate.position_ >= *bound;
-    });
-  return safe;
-}
-
 //! The candidates that may be promoted without majority acknowledgement. Empty
 //! when there is only the old primary, as promoting it would not start a new
 //! term. With `primary`, a client can't rely on any of them: the one with the
@@ -220,13 +175,23 @@
 
 } // namespace
 
+bool
+IsReadForChoice(const wire::GroupState& aGroup,
+                const wire::TargetState& aTarget)
+{
+  return aTarget.counted() ||
+         GetAcknowledgement(aGroup) == Acknowledgement::OneReplica;
+}
+
 std::vector<Candidate>
 ListCandidates(const GroupContext& aContext, Instant aSince)
 {
   std::vector<Candidate> candidates;
-  for (const auto& target : aContext.group_.targets()) {
+  const auto& group = aContext.group_;
+  for (const auto& target : group.targets()) {
     const auto* report = FindOwnReport(aContext, target.target(), aSince);
-    if (target.counted() && report != nullptr && MayCount(aContext, *report)) {
+    if (IsReadForChoice(group, target) && report != nullptr &&
+        MayCount(aContext, *report)) {
       candidates.push_back(
         { &target, report, GetRankPosition(aContext, *report) });
     }
@@ -234,6 +199,24 @@
   return candidates;
 }
 
+const Candidate*
+FindLeadingPrimary(const GroupContext& aContext,
+                   std::span<const Candidate> aCandidates)
+{
+  const auto leading =
+    std::ranges::find_if(aCandidates, [&](const Candidate& aCandidate) {
+      return LeadsTermInForce(aContext, aCandidate);
+    });
+  return leading == aCandidates.end() ? nullptr : &*leading;
+}
+
+bool
+IsPlannedChange(const wire::GroupState& aGroup)
+{
+  const auto* primary = positions::FindTarget(aGroup, aGroup.primary());
+  return (primary != nullptr && primary->leaving()) || IsRequested(aGroup);
+}
+
 std::vector<Candidate>
 FilterSafeCandidates(const GroupContext& aContext,
                      const std::vector<Candidate>& aCandidates)
@@ -295,14 +278,12 @@
   const auto chosen =
     FindBestOrRequested(aContext, KeepPromising(aContext, aSafe));
   const bool requested =
-    IsPlanned(group) && chosen.target_->target() == group.requested_primary();
-  if (requested || (isOther(chosen) && !IsPlanned(group))) {
+    IsRequested(group) && chosen.target_->target() == group.requested_primary();
+  if (requested || (isOther(chosen) && !IsRequested(group))) {
     return chosen;
   }
-  const auto* primary = positions::FindTarget(group, group.primary());
-  const bool leaves = primary != nullptr && primary->leaving();
   const auto wait =
-    leaves || IsPlanned(group) ? kPlannedCatchUpWaitMs : kCatchUpWaitMs;
+    IsPlannedChange(group) ? kPlannedCatchUpWaitMs : kCatchUpWaitMs;
   if (aContext.now_ - *aContext.progress_.safeSince_ < wait) {
     return std::nullopt;
   }
--- a/packages/core/failover/internal/countedtargets.cpp
+++ b/packages/core/failover/internal/countedtargets.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/failover/internal/acknowledgedbound.h"
 #include "core/failover/internal/announcedtargets.h"
-#include "core/failover/internal/departedtargets.h"
 #include "core/failover/internal/withoutmajority.h"
 #include "core/positions/positions.h"
 
@@ -27,6 +27,16 @@
     aContext, std::move(record), "expel " + aTarget + ": " + aReason);
 }
 
+//! The announcements by which targets are admitted. Where one replica
+//! acknowledges writes, one that leaves may acknowledge them, too.
+std::vector<const wire::Announcement*>
+FindAdmissibleAnnouncements(const GroupContext& aContext)
+{
+  return GetAcknowledgement(aContext.group_) == Acknowledgement::OneReplica
+           ? FindReceivingAnnouncements(aContext)
+           : FindLiveAnnouncements(aContext);
+}
+
 //! Proposes to admit or update one target that announced itself. With aCounted,
 //! a new target is counted at once, within the group's size if writes need a
 //! majority. Returns whether a record was proposed.
@@ -34,15 +44,21 @@
 AdmitAnnounced(GroupContext& aContext, bool aCounted)
 {
   const auto& group = aContext.group_;
+  const auto acknowledgement = GetAcknowledgement(group);
   const bool hasRoom =
-    GetAcknowledgement(group) != Acknowledgement::Majority ||
+    acknowledgement != Acknowledgement::Majority ||
     positions::CountedTargetCount(group) < GetGroupSize(group);
-  for (const auto* announcement : FindLiveAnnouncements(aContext)) {
+  for (const auto* announcement : FindAdmissibleAnnouncements(aContext)) {
     const auto* known = positions::FindTarget(group, announcement->target());
-    if (known != nullptr && MatchesAnnouncement(*known, *announcement)) {
+    // Admitted while the term was fenced.
+    const bool mustCount = known != nullptr && !known->counted() &&
+                           acknowledgement == Acknowledgement::OneReplica;
+    if (known != nullptr && !mustCount &&
+        MatchesAnnouncement(*known, *announcement)) {
       continue;
     }
     auto state = MakeTargetState(*announcement);
+    state.set_leaving(announcement->leaving());
     if (known != nullptr) {
       state.set_draining(known->draining());
     }
@@ -51,15 +67,19 @@
     if (known != nullptr && known->counted() && newIncarnation && !aCounted) {
       continue; // must be expelled first
     }
-    state.set_counted(newIncarnation ? aCounted && hasRoom : known->counted());
-    // A write that only its former data had may be acknowledged.
-    const bool replaced = known != nullptr && known->counted() &&
-                          newIncarnation && RemembersDeparted(group);
+    state.set_counted(newIncarnation || mustCount ? aCounted && hasRoom
+                                                  : known->counted());
+    const bool replaced =
+      known != nullptr && known->counted() && newIncarnation;
+    const auto* entry = membership::FindTarget(
+      aContext.state_.membership_, group.group(), announcement->target());
+    if (replaced && !MayRemove(aContext, *known, entry->announcedAt_)) {
+      continue;
+    }
     ProposeAdmission(aContext,
                      std::move(state),
                      "announced",
-                     replaced ? std::optional(MakeDeparted(aContext, *known))
-                              : std::nullopt);
+                     replaced ? FindPositionToKeep(aContext) : std::nullopt);
     return true;
   }
   return false;
@@ -328,13 +348,13 @@
 ProposeAdmission(GroupContext& aContext,
                  wire::TargetState aTarget,
                  const std::string& aReason,
-                 const std::optional<wire::DepartedTarget>& aReplaced)
+                 const std::optional<foundation::LogPosition>& aAcknowledged)
 {
   const auto name = aTarget.target();
   wire::ControlRecord record;
   record.mutable_admit()->set_group(aContext.group_.group());
-  if (aReplaced) {
-    *record.mutable_admit()->mutable_replaced() = *aReplaced;
+  if (aAcknowledged) {
+    *record.mutable_admit()->mutable_acknowledged() = ToWire(*aAcknowledged);
   }
   *record.mutable_admit()->mutable_target() = std::move(aTarget);
   ProposeRecord(aContext, std::move(record), "admit " + name + ": " + aReason);
@@ -424,8 +444,8 @@
     return;
   }
   if (GetAcknowledgement(aContext.group_) != Acknowledgement::Majority) {
-    if (!AdmitAnnounced(aContext, true) && !ExpelOneDeparted(aContext)) {
-      ForgetSettledDeparted(aContext);
+    if (!AdmitAnnounced(aContext, true)) {
+      ExpelOneDeparted(aContext);
     }
     return;
   }
--- a/packages/core/failover/internal/countedtargets.h
+++ b/packages/core/failover/internal/countedtargets.h
@@ -27,13 +27,14 @@
            foundation::LogPosition aPosition,
            foundation::Instant aSince);
 
-//! aReplaced: the target's former data, if it counted and is to be remembered.
+//! aAcknowledged: kept in the replicated state, if the target's former data
+//! counted and is replaced.
 void
 ProposeAdmission(
   GroupContext& aContext,
   wire::TargetState aTarget,
   const std::string& aReason,
-  const std::optional<wire::DepartedTarget>& aReplaced = std::nullopt);
+  const std::optional<foundation::LogPosition>& aAcknowledged = std::nullopt);
 
 //! Proposes the group's first primary. A target that already is primary is
 //! adopted without a promotion.
--- a/packages/core/failover/internal/groupcontext.cpp
+++ b/packages/core/failover/internal/groupcontext.cpp
@@ -125,6 +125,15 @@
   aContext.progress_.waitingReason_ = std::move(aReason);
 }
 
+wire::LogPosition
+ToWire(const foundation::LogPosition& aPosition)
+{
+  wire::LogPosition position;
+  position.set_term(aPosition.term_);
+  position.set_offset(aPosition.offset_);
+  return position;
+}
+
 Acknowledgement
 GetAcknowledgement(const wire::GroupState& aGroup)
 {
--- a/packages/core/failover/internal/groupcontext.h
+++ b/packages/core/failover/internal/groupcontext.h
@@ -57,6 +57,10 @@
 void
 SetWaitingReason(GroupContext& aContext, std::string aReason);
 
+//! For records.
+wire::LogPosition
+ToWire(const foundation::LogPosition& aPosition);
+
 //! Which targets must have synced a write before it is acknowledged, by the
 //! group's option `acknowledge`.
 enum class Acknowledgement
--- a/packages/core/failover/internal/groupidle.cpp
+++ b/packages/core/failover/internal/groupidle.cpp
@@ -87,8 +87,7 @@
     GetAcknowledgement(group) == Acknowledgement::Majority &&
     (!progress.settledAt_ ||
      positions::CountedTargetCount(group) < GetGroupSize(group));
-  if (planned || unsettled || !group.departed().empty() ||
-      !progress.waitingReason_.empty()) {
+  if (planned || unsettled || !progress.waitingReason_.empty()) {
     return kStepDue;
   }
   auto until = Instant::max();
--- a/packages/core/failover/internal/promotion.cpp
+++ b/packages/core/failover/internal/promotion.cpp
@@ -5,8 +5,11 @@
 #include <utility>
 
 #include "core/configuration/groupoptions.h"
+#include "core/failover/internal/acknowledgedbound.h"
 #include "core/failover/internal/candidates.h"
-#include "core/failover/internal/departedtargets.h"
+#include "core/failover/internal/countedtargets.h"
+#include "core/failover/internal/resume.h"
+#include "core/failover/internal/withoutmajority.h"
 #include "core/positions/positions.h"
 
 namespace wigeonlb::core::failover {
@@ -39,6 +42,7 @@
     wire::RevokeGrant revoke;
     revoke.mutable_key()->set_group(group.group());
     revoke.mutable_key()->set_term(group.term());
+    revoke.mutable_key()->set_epoch(group.epoch());
     aContext.actions_.push_back(SendRevoke{ holder.host_, std::move(revoke) });
   }
 }
@@ -68,7 +72,8 @@
   return true;
 }
 
-//! True when each counted target has answered a read or failed since aSince.
+//! True when each target to choose from has answered a read or failed since
+//! aSince.
 bool
 HaveAllAnswered(const GroupContext& aContext, Instant aSince)
 {
@@ -78,7 +83,7 @@
       const bool failed = read != aContext.progress_.reads_.end() &&
                           read->second.failingSince_ &&
                           read->second.lastFailedAt_ >= aSince;
-      return !aTarget.counted() || failed ||
+      return !IsReadForChoice(aContext.group_, aTarget) || failed ||
              FindOwnReport(aContext, aTarget.target(), aSince) != nullptr;
     });
 }
@@ -102,13 +107,13 @@
   ProposeRecord(aContext, std::move(record), reason);
 }
 
-//! Requests reads of the counted targets: at once from targets without a
+//! Requests reads of the targets to choose from: at once from targets without a
 //! request since aSince, then at intervals.
 void
-RequestCountedReads(GroupContext& aContext, Instant aSince)
+RequestReads(GroupContext& aContext, Instant aSince)
 {
   for (const auto& target : aContext.group_.targets()) {
-    if (!target.counted()) {
+    if (!IsReadForChoice(aContext.group_, target)) {
       continue;
     }
     auto& read = aContext.progress_.reads_[target.target()];
@@ -260,23 +265,6 @@
   return unreachable || aContext.now_ - *progress.promotionSince_ >= deadline;
 }
 
-//! Describes why no target is certain to hold every write that one replica has
-//! received.
-std::string
-DescribeMissingReplica(const GroupContext& aContext, std::size_t aCandidates)
-{
-  const auto& group = aContext.group_;
-  std::string reason = "no replica is sure to hold every acknowledged write: " +
-                       std::to_string(aCandidates) +
-                       " targets answer and count";
-  const std::string departed = ListDepartedNames(group);
-  if (!departed.empty()) {
-    reason += "; waits for " + group.primary() +
-              " or for a target with the log of " + departed;
-  }
-  return reason;
-}
-
 //! Describes why no target is certain to hold every acknowledged write.
 std::string
 DescribeMissingMajority(const GroupContext& aContext, std::size_t aCandidates)
@@ -323,6 +311,13 @@
 TryCandidate(GroupContext& aContext, const Candidate& aCandidate)
 {
   auto& progress = aContext.progress_;
+  if (!aCandidate.target_->counted()) {
+    auto state = *aCandidate.target_;
+    state.set_counted(true);
+    ProposeAdmission(
+      aContext, std::move(state), "it holds every acknowledged write");
+    return;
+  }
   const auto* failure = FindFailure(aContext, aCandidate);
   if (failure != nullptr &&
       aContext.now_ - failure->at_ < GetRetryPause(*failure)) {
@@ -342,12 +337,15 @@
   ProposeChoice(aContext, aCandidate);
 }
 
-//! Reads the counted targets and tries the best safe candidate.
+//! Reads the targets to choose from and tries the best safe one.
 void
 ReadAndChoose(GroupContext& aContext, Instant aSince)
 {
   auto& progress = aContext.progress_;
-  RequestCountedReads(aContext, aSince);
+  if (AdmitNewcomer(aContext)) {
+    return;
+  }
+  RequestReads(aContext, aSince);
   const auto candidates = ListCandidates(aContext, aSince);
   const auto safe = FilterSafeCandidates(aContext, candidates);
   if (safe.empty()) {
@@ -356,11 +354,9 @@
       GetAcknowledgement(aContext.group_) == Acknowledgement::OneReplica;
     SetWaitingReason(aContext,
                      oneReplica
-                       ? DescribeMissingReplica(aContext, candidates.size())
+                       ? DescribeMissingReplica(aContext, candidates)
                        : DescribeMissingMajority(aContext, candidates.size()));
-    if (oneReplica) {
-      AdmitSuccessor(aContext);
-    }
+    TryResume(aContext, candidates);
     return;
   }
   progress.safeSince_ = progress.safeSince_.value_or(aContext.now_);
@@ -416,7 +412,7 @@
 StepFenced(GroupContext& aContext)
 {
   if (!aContext.state_.guards_.readAfterRelease_) {
-    RequestCountedReads(aContext, Instant::min());
+    RequestReads(aContext, Instant::min());
   }
   if (!AreGrantsReleased(aContext)) {
     return;
--- a/packages/core/failover/internal/withoutmajority.cpp
+++ b/packages/core/failover/internal/withoutmajority.cpp
@@ -2,11 +2,15 @@
 
 #include <utility>
 
+#include "core/failover/internal/acknowledgedbound.h"
+#include "core/failover/internal/announcedtargets.h"
 #include "core/failover/internal/countedtargets.h"
-#include "core/failover/internal/departedtargets.h"
+#include "core/positions/positions.h"
 
 namespace wigeonlb::core::failover {
 
+using foundation::Instant;
+
 void
 AdoptExistingPrimary(GroupContext& aContext)
 {
@@ -89,14 +93,20 @@
         !HasDeparted(aContext, target)) {
       continue;
     }
+    const auto* entry = membership::FindTarget(
+      aContext.state_.membership_, aContext.group_.group(), target.target());
+    const auto since = entry != nullptr ? entry->announcedAt_ : Instant{};
+    if (target.counted() && !MayRemove(aContext, target, since)) {
+      continue;
+    }
     wire::ControlRecord record;
     record.mutable_expel()->set_group(aContext.group_.group());
     record.mutable_expel()->set_target(target.target());
     record.mutable_expel()->set_reason("it is gone");
     record.mutable_expel()->set_gone(true);
-    if (target.counted() && RemembersDeparted(aContext.group_)) {
-      *record.mutable_expel()->mutable_departed() =
-        MakeDeparted(aContext, target);
+    const auto acknowledged = FindPositionToKeep(aContext);
+    if (target.counted() && acknowledged) {
+      *record.mutable_expel()->mutable_acknowledged() = ToWire(*acknowledged);
     }
     ProposeRecord(
       aContext, std::move(record), "forget " + target.target() + ": gone");
@@ -105,4 +115,22 @@
   return false;
 }
 
+bool
+AdmitNewcomer(GroupContext& aContext)
+{
+  if (GetAcknowledgement(aContext.group_) != Acknowledgement::OneReplica) {
+    return false;
+  }
+  for (const auto* announcement : FindReceivingAnnouncements(aContext)) {
+    const auto& name = announcement->target();
+    if (positions::FindTarget(aContext.group_, name) == nullptr) {
+      ProposeAdmission(aContext,
+                       MakeTargetState(*announcement),
+                       "announced while the term is fenced");
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace wigeonlb::core::failover
--- a/packages/core/failover/internal/withoutmajority.h
+++ b/packages/core/failover/internal/withoutmajority.h
@@ -23,4 +23,10 @@
 bool
 ExpelOneDeparted(GroupContext& aContext);
 
+//! Proposes to admit a target that announced itself after the fence, so that it
+//! is read. It doesn't count, so that the choice doesn't wait for it. Returns
+//! whether a record was proposed.
+bool
+AdmitNewcomer(GroupContext& aContext);
+
 } // namespace wigeonlb::core::failover
--- a/packages/core/failover/tests/fleetplay.cpp
+++ b/packages/core/failover/tests/fleetplay.cpp
@@ -126,8 +126,10 @@
 {
   const auto held = aFleet.hosts_[aHost].holder_.grants_;
   for (const auto& [group, grant] : held) {
-    FeedFleetHost(
-      aFleet, aHost, grants::DrainedForRelease{ group, grant.grant_.term() });
+    FeedFleetHost(aFleet,
+                  aHost,
+                  grants::DrainedForRelease{
+                    group, foundation::GetTermEpoch(grant.grant_) });
   }
 }
 
--- a/packages/core/failover/tests/onereplica_tests.cpp
+++ b/packages/core/failover/tests/onereplica_tests.cpp
@@ -72,21 +72,26 @@
 }
 
 //! Whether a replica that holds every acknowledged write can be promoted, and
-//! the reads show that it holds them.
+//! the reads show that it holds them; or none has the end of the primary, which
+//! then goes on.
 bool
 CanGoOn(const Play& aPlay)
 {
   const auto& servers = aPlay.servers_;
   const auto& primary = servers.at("b");
   const bool othersRead = servers.at("a").answers_ && servers.at("c").answers_;
-  const auto bound = othersRead
-                       ? aPlay.acknowledged_
-                       : (primary.answers_ ? primary.offset_ : UINT64_MAX);
-  return std::ranges::any_of(servers, [&](const auto& aItem) {
-    const auto& [name, server] = aItem;
-    return name != "b" && server.answers_ && !server.refuses_ &&
-           server.offset_ >= bound;
-  });
+  const auto bound = primary.answers_
+                       ? primary.offset_
+                       : (othersRead ? aPlay.acknowledged_ : UINT64_MAX);
+  const auto reaches = [&](const auto& aItem) {
+    return aItem.first != "b" && aItem.second.answers_ &&
+           aItem.second.offset_ >= bound;
+  };
+  const bool resumes =
+    primary.answers_ && std::ranges::none_of(servers, reaches);
+  return resumes || std::ranges::any_of(servers, [&](const auto& aItem) {
+           return reaches(aItem) && !aItem.second.refuses_;
+         });
 }
 
 std::string
@@ -115,6 +120,7 @@
     INFO(Describe(play));
     Leader leader;
     leader.servers_ = play.servers_;
+    leader.servers_.at("b").primary_ = true;
     leader.acknowledge_ = "one_replica";
     RunFenced(leader, std::chrono::seconds(8));
     for (const auto& chosen : leader.chosen_) {
--- a/packages/core/failover/tests/simulatedfleet.cpp
+++ b/packages/core/failover/tests/simulatedfleet.cpp
@@ -73,7 +73,8 @@
     if (aFleet.hosts_[aHost].boots_ == boot) {
       FeedFleetHost(aFleet,
                     aHost,
-                    grants::DrainedForRelease{ aAction.group_, aAction.term_ });
+                    grants::DrainedForRelease{
+                      aAction.group_, { aAction.term_, aAction.epoch_ } });
     }
   });
 }
--- a/packages/core/failover/tests/simulatedhosts.cpp
+++ b/packages/core/failover/tests/simulatedhosts.cpp
@@ -281,7 +281,7 @@
         std::size_t aHost,
         const grants::StopNewWrites& aStop)
 {
-  const auto term = aStop.term_;
+  const foundation::TermEpoch term{ aStop.term_, aStop.epoch_ };
   Post(aSimulation,
        aSimulation.now_ + PickTime(aSimulation, 0, 100 * kMs),
        aSimulation.hosts_[aHost].name_,
--- a/packages/core/failover/tests/singleleader.cpp
+++ b/packages/core/failover/tests/singleleader.cpp
@@ -14,6 +14,14 @@
 constexpr foundation::Duration kAnswerMs = std::chrono::milliseconds(1);
 constexpr std::uint64_t kTerm2StartOffset = 100;
 
+//! Empty if the server doesn't answer.
+std::optional<wire::TargetReport>
+MakeServerReport(const std::string& aName, const Server& aServer)
+{
+  const auto report = MakeReport(aName, aServer);
+  return report.reachable() ? std::optional(report) : std::nullopt;
+}
+
 wire::GroupState
 MakeGroup(const Leader& aLeader)
 {
@@ -32,32 +40,15 @@
   for (const auto& [name, server] : aLeader.servers_) {
     auto* target = group.add_targets();
     target->set_target(name);
-    target->set_incarnation(1);
+    target->set_incarnation(server.incarnation_);
     target->set_address(server.address_);
+    target->set_connection_limit(kConnectionLimit);
     target->set_counted(server.counted_);
     target->set_leaving(server.leaving_);
   }
   return group;
 }
 
-std::optional<wire::TargetReport>
-MakeServerReport(const std::string& aName, const Server& aServer)
-{
-  if (!aServer.answers_) {
-    return std::nullopt;
-  }
-  wire::TargetReport report;
-  report.set_group("g");
-  report.set_target(aName);
-  report.set_reachable(true);
-  report.set_primary(aServer.primary_);
-  report.set_adopted_term(aServer.adopted_);
-  report.set_synced_offset(aServer.offset_);
-  report.set_incarnation(1);
-  report.set_diverged(aServer.diverged_);
-  return report;
-}
-
 void
 Execute(Leader& aLeader, const Propose& aPropose)
 {
@@ -75,7 +66,7 @@
 void
 Execute(Leader& aLeader, const ReadTarget& aRead)
 {
-  const auto& server = aLeader.servers_.at(aRead.target_);
+  const auto& server = aLeader.servers_[aRead.target_];
   aLeader.events_.emplace_back(
     TargetAnswered{ aRead.read_,
                     aRead.group_,
@@ -90,6 +81,9 @@
   if (server.answers_ && !server.refuses_ && aRequest.term_ > server.adopted_) {
     server.primary_ = true;
     server.adopted_ = aRequest.term_;
+    if (aLeader.onPromoted_) {
+      aLeader.onPromoted_(aRequest.target_);
+    }
   }
   aLeader.events_.emplace_back(
     PromotionAnswered{ aRequest.group_,
@@ -100,13 +94,38 @@
 }
 
 void
-Execute(Leader&, const Reply&)
+Execute(Leader& aLeader, const Reply& aReply)
 {
+  if (aLeader.onReply_) {
+    aLeader.onReply_(aReply);
+  }
 }
 
 void
-Execute(Leader&, const SendRevoke&)
+Execute(Leader& aLeader, const SendRevoke& aRevoke)
 {
+  if (aLeader.onRevoke_) {
+    aLeader.onRevoke_(aRevoke);
+  }
+}
+
+} // namespace
+
+wire::TargetReport
+MakeReport(const std::string& aName, const Server& aServer)
+{
+  wire::TargetReport report;
+  report.set_group("g");
+  report.set_target(aName);
+  report.set_reachable(aServer.answers_);
+  if (aServer.answers_) {
+    report.set_primary(aServer.primary_);
+    report.set_adopted_term(aServer.adopted_);
+    report.set_synced_offset(aServer.offset_);
+    report.set_incarnation(aServer.incarnation_);
+    report.set_diverged(aServer.diverged_);
+  }
+  return report;
 }
 
 void
@@ -125,8 +144,6 @@
   }
 }
 
-} // namespace
-
 const wire::GroupState&
 GetGroup(const Leader& aLeader)
 {
@@ -178,7 +195,8 @@
   announcement.set_group("g");
   announcement.set_target(aServer);
   announcement.set_address(aLeader.servers_.at(aServer).address_);
-  announcement.set_incarnation(1);
+  announcement.set_incarnation(aLeader.servers_.at(aServer).incarnation_);
+  announcement.set_connection_limit(kConnectionLimit);
   announcement.set_leaving(aGone);
   announcement.set_gone(aGone);
   Feed(aLeader, received);
--- a/packages/core/failover/tests/singleleader.h
+++ b/packages/core/failover/tests/singleleader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -9,6 +10,9 @@
 
 namespace wigeonlb::core::failover {
 
+//! Of each target, for all hosts together.
+constexpr std::uint32_t kConnectionLimit = 20;
+
 //! A target with its answers to reads and promotion requests.
 struct Server
 {
@@ -21,6 +25,7 @@
   bool diverged_ = false; //!< as its status reports
   bool leaving_ = false;
   std::string address_;
+  std::uint64_t incarnation_ = 1;
 };
 
 //! A single leader. The servers' answers are fed to it immediately.
@@ -37,6 +42,9 @@
   std::uint64_t heartbeats_ = 0;
   std::vector<std::string> chosen_;
   foundation::Instant lastChosenAt_;
+  std::function<void(const Reply&)> onReply_;
+  std::function<void(const SendRevoke&)> onRevoke_;
+  std::function<void(const std::string&)> onPromoted_;
 };
 
 const wire::GroupState&
@@ -48,6 +56,14 @@
 void
 RunFenced(Leader& aLeader, foundation::Duration aWithin);
 
+//! The server's status, as a host or the leader reads it.
+wire::TargetReport
+MakeReport(const std::string& aName, const Server& aServer);
+
+//! Passes an event to the leader, and the answers to what it asks for.
+void
+Feed(Leader& aLeader, const FailoverEvent& aEvent);
+
 //! Runs on as RunFenced does.
 void
 Continue(Leader& aLeader, foundation::Duration aWithin);
--- a/packages/core/grants/granttable.cpp
+++ b/packages/core/grants/granttable.cpp
@@ -230,7 +230,8 @@
                        const wire::Heartbeat& aHeartbeat)
 {
   const auto* held = FindHeld(aHeartbeat, aGroup.group());
-  if (held == nullptr || held->term() != aGroup.term()) {
+  if (held == nullptr ||
+      foundation::GetTermEpoch(*held) != foundation::GetTermEpoch(aGroup)) {
     return 0;
   }
   return std::min(aShare, held->connection_share());
@@ -262,11 +263,12 @@
     for (auto& [key, record] : holders) {
       MoveEndedGrants(record, end);
       record.ended_.endedAt_ = aNow;
-      record.releasedTerm_ = 0;
+      record.released_ = {};
     }
   }
   aTable.leadingSince_ = aNow;
   aTable.reportedHosts_.clear();
+  aTable.writes_.clear();
 }
 
 bool
@@ -331,7 +333,8 @@
   for (const auto& released : aHeartbeat.released()) {
     // The share counts until the lease ends, as connections may still be open.
     auto& record = GetOrCreateRecord(aTable, released.group(), key);
-    record.releasedTerm_ = std::max(record.releasedTerm_, released.term());
+    record.released_ =
+      std::max(record.released_, foundation::GetTermEpoch(released));
   }
   for (const auto& held : aHeartbeat.held()) {
     RecordReportedHolder(
@@ -344,6 +347,9 @@
         aTable, list.group(), holder, reported.connections(), aNow);
     }
   }
+  for (auto& [group, writes] : aTable.writes_) {
+    RecordTold(writes, key, group, aHeartbeat, aNow);
+  }
   const auto groups = aTable.groupsOf_.find(key);
   if (groups == aTable.groupsOf_.end()) {
     return;
@@ -379,17 +385,20 @@
     return std::nullopt;
   }
   auto& record = GetOrCreateRecord(aTable, name, key);
-  if (record.releasedTerm_ >= aGroup.term()) {
+  if (record.released_ >= foundation::GetTermEpoch(aGroup)) {
     return std::nullopt;
   }
   const auto lease = configuration::OptionDuration(aGroup, "lease");
   record.issued_.push_back({ aHeartbeat.sequence(),
                              aGroup.term(),
                              share,
-                             aReceived + AddClockDrift(lease) });
+                             aReceived + AddClockDrift(lease),
+                             aGroup.epoch() });
   wire::Grant grant;
+  NoteWriter(aTable.writes_, aGroup, aHeartbeat, grant);
   grant.set_group(name);
   grant.set_term(aGroup.term());
+  grant.set_epoch(aGroup.epoch());
   grant.set_primary(aGroup.primary());
   grant.set_connection_share(share);
   grant.set_lease_us(static_cast<std::uint64_t>(lease.count()));
--- a/packages/core/grants/granttable.h
+++ b/packages/core/grants/granttable.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "control.pb.h"
+#include "core/grants/acknowledgedwrites.h"
 #include "core/grants/holderrecord.h"
 #include "foundation/clock.h"
 #include "foundation/identifiers.h"
@@ -45,6 +46,8 @@
   //! Index of holders_: the groups in which a holder has a record.
   std::map<HolderKey, std::set<foundation::GroupName>> groupsOf_;
   std::map<foundation::GroupName, GroupLease> leases_;
+  //! Of groups whose writes are acknowledged once one replica has them.
+  WritesByGroup writes_;
   //! When this host became leader. Grants of an earlier leader may have been
   //! issued up to then.
   foundation::Instant leadingSince_;
--- a/packages/core/grants/holder.cpp
+++ b/packages/core/grants/holder.cpp
@@ -250,6 +250,9 @@
             .announcements_[{ announcement.group(), announcement.target() }];
         item = { announcement, 0 };
       },
+      [&](const WritesAcknowledged& aEvent) {
+        StoreAcknowledged(aState, aEvent.writes_);
+      },
       [&](const DrainedForRelease& aDrained) {
         HandleDrained(aState, aDrained, aActions);
       },
--- a/packages/core/grants/holder.h
+++ b/packages/core/grants/holder.h
@@ -14,6 +14,7 @@
 #include "core/grants/holderrecord.h"
 #include "foundation/clock.h"
 #include "foundation/identifiers.h"
+#include "foundation/termepoch.h"
 
 namespace wigeonlb::core::grants {
 
@@ -115,10 +116,11 @@
   //! Holders of the owned groups, as last received from a leader.
   std::map<foundation::GroupName, wire::GroupHolders> holders_;
   //! Highest term that was revoked or released; never used again.
-  std::map<foundation::GroupName, std::uint64_t> endedTerms_;
+  std::map<foundation::GroupName, foundation::TermEpoch> endedTerms_;
   //! Releases that no leader has acknowledged yet, by group and term, with the
   //! sequence of the first heartbeat that carried them; 0: not sent yet.
-  std::map<std::pair<foundation::GroupName, std::uint64_t>, std::uint64_t>
+  std::map<std::pair<foundation::GroupName, foundation::TermEpoch>,
+           std::uint64_t>
     releases_;
   std::map<std::pair<foundation::GroupName, foundation::TargetName>,
            std::pair<wire::TargetReport, foundation::Instant>>
@@ -126,6 +128,8 @@
   std::map<std::pair<foundation::GroupName, foundation::TargetName>,
            std::pair<wire::Announcement, std::uint64_t>>
     announcements_; //!< not acknowledged yet; sequence as in releases_
+  //! What this host has acknowledged, in the last term of each group.
+  std::map<foundation::GroupName, wire::AcknowledgedWrites> acknowledged_;
   foundation::Instant lastSent_;
   foundation::Instant nextHeartbeat_;
   foundation::Instant lastContact_;
@@ -162,12 +166,17 @@
 {
   wire::Announcement announcement_;
 };
+//! What this host has acknowledged in a term of a group.
+struct WritesAcknowledged
+{
+  wire::AcknowledgedWrites writes_;
+};
 //! No work is in flight any more under a grant that was stopped, or that the
 //! host releases because it shuts down.
 struct DrainedForRelease
 {
   foundation::GroupName group_;
-  std::uint64_t term_ = 0;
+  foundation::TermEpoch term_;
 };
 //! The largest number of connections of a group to any one target, without the
 //! probe connection. 0 if no connection is open, not even the probe connection.
@@ -201,6 +210,7 @@
                                  RevokeReceived,
                                  ReportsChanged,
                                  AnnouncementReceived,
+                                 WritesAcknowledged,
                                  DrainedForRelease,
                                  ShareInUse,
                                  RevisionInForce,
@@ -231,6 +241,7 @@
   foundation::Instant releaseBy_; //!< deadline for writes in flight
   //! If false, the grant was only not renewed and may be issued again.
   bool revoked_ = false;
+  std::uint64_t epoch_ = 0; //!< of the term
 };
 //! Apply the configuration in the reply, then report RevisionInForce.
 struct ConfigurationReceived
--- a/packages/core/grants/holderrecord.cpp
+++ b/packages/core/grants/holderrecord.cpp
@@ -133,7 +133,8 @@
 {
   return std::ranges::any_of(aRecord.issued_, [&](const auto& aIssued) {
     return aIssued.term_ <= aTerm && aIssued.ends_ > aNow &&
-           aIssued.term_ > aRecord.releasedTerm_;
+           foundation::TermEpoch{ aIssued.term_, aIssued.epoch_ } >
+             aRecord.released_;
   });
 }
 
@@ -141,7 +142,7 @@
 IsEmpty(const HolderRecord& aRecord, Instant aNow)
 {
   return aRecord.issued_.empty() && GetCountedConnections(aRecord, aNow) == 0 &&
-         (aRecord.releasedTerm_ == 0 || aRecord.replaced_);
+         (aRecord.released_.term_ == 0 || aRecord.replaced_);
 }
 
 } // namespace wigeonlb::core::grants
--- a/packages/core/grants/holderrecord.h
+++ b/packages/core/grants/holderrecord.h
@@ -6,6 +6,7 @@
 #include "control.pb.h"
 #include "foundation/clock.h"
 #include "foundation/identifiers.h"
+#include "foundation/termepoch.h"
 
 //! The leader's record of one holder, and the number of connections with which
 //! it counts against the connection limit.
@@ -24,6 +25,7 @@
   std::uint64_t term_ = 0;
   std::uint32_t share_ = 0;
   foundation::Instant ends_; //!< end of the lease plus clock drift
+  std::uint64_t epoch_ = 0;  //!< of the term
 };
 
 //! One process incarnation of one host.
@@ -54,7 +56,7 @@
   foundation::Instant lastHeartbeatAt_;
   //! Grants issued for heartbeats up to this sequence are no longer in use.
   std::uint64_t unusedThroughSequence_ = 0;
-  std::uint64_t releasedTerm_ = 0;  //!< terms up to this one were released
+  foundation::TermEpoch released_;  //!< terms up to this one were released
   bool hasProbeConnection_ = false; //!< as the holder reported
   bool replaced_ = false;           //!< the host has a newer incarnation
 };
--- a/packages/core/grants/internal/heldgrants.cpp
+++ b/packages/core/grants/internal/heldgrants.cpp
@@ -1,11 +1,14 @@
 #include "core/grants/internal/heldgrants.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wigeonlb::core::grants::internal {
 
 using foundation::Duration;
+using foundation::GetTermEpoch;
 using foundation::Instant;
+using foundation::TermEpoch;
 
 namespace {
 
@@ -20,7 +23,7 @@
 void
 EndTerm(HolderState& aState,
         const foundation::GroupName& aGroup,
-        std::uint64_t aTerm)
+        const TermEpoch& aTerm)
 {
   auto& ended = aState.endedTerms_[aGroup];
   ended = std::max(ended, aTerm);
@@ -45,7 +48,7 @@
 void
 Release(HolderState& aState,
         const foundation::GroupName& aGroup,
-        std::uint64_t aTerm,
+        const TermEpoch& aTerm,
         Actions& aActions)
 {
   EndTerm(aState, aGroup, aTerm);
@@ -66,7 +69,8 @@
   aActions.push_back(StopNewWrites{ aHeld.grant_.group(),
                                     aHeld.grant_.term(),
                                     aHeld.releaseBy_,
-                                    aHeld.revoked_ });
+                                    aHeld.revoked_,
+                                    aHeld.grant_.epoch() });
 }
 
 void
@@ -75,7 +79,7 @@
            Instant aNow,
            Actions& aActions)
 {
-  EndTerm(aState, aHeld.grant_.group(), aHeld.grant_.term());
+  EndTerm(aState, aHeld.grant_.group(), GetTermEpoch(aHeld.grant_));
   aHeld.revoked_ = true;
   StopGrant(aHeld, aNow + kReleaseDrainMs, aActions);
 }
@@ -87,7 +91,7 @@
 {
   const auto held = aState.grants_.at(aGroup);
   if (held.revoked_) {
-    Release(aState, aGroup, held.grant_.term(), aActions);
+    Release(aState, aGroup, GetTermEpoch(held.grant_), aActions);
   } else {
     DropGrant(aState, aGroup, aActions);
   }
@@ -117,16 +121,44 @@
 ReleaseSupersededTerm(HolderState& aState, HeldGrant& aHeld)
 {
   if (aHeld.grant_.term() != 0) {
-    EndTerm(aState, aHeld.grant_.group(), aHeld.grant_.term());
-    aState.releases_.try_emplace({ aHeld.grant_.group(), aHeld.grant_.term() },
-                                 0);
+    const auto term = GetTermEpoch(aHeld.grant_);
+    EndTerm(aState, aHeld.grant_.group(), term);
+    aState.releases_.try_emplace({ aHeld.grant_.group(), term }, 0);
   }
   aHeld.revoked_ = false;
   aHeld.expires_ = {};
 }
 
+//! Of this host, in the same term.
+std::uint32_t
+GetUnknownWrites(const HolderState& aState,
+                 const wire::AcknowledgedWrites& aWrites)
+{
+  const auto known = aState.acknowledged_.find(aWrites.group());
+  const bool isSame = known != aState.acknowledged_.end() &&
+                      known->second.term() == aWrites.term();
+  return isSame ? known->second.unknown() : 0;
+}
+
 } // namespace
 
+void
+StoreAcknowledged(HolderState& aState, const wire::AcknowledgedWrites& aWrites)
+{
+  auto& known = aState.acknowledged_[aWrites.group()];
+  if (known.term() > aWrites.term()) {
+    return;
+  }
+  auto stored = aWrites;
+  if (known.term() == aWrites.term()) {
+    stored.set_least_offset(
+      std::max(known.least_offset(), aWrites.least_offset()));
+    stored.set_most_offset(
+      std::max(known.most_offset(), aWrites.most_offset()));
+  }
+  known = std::move(stored);
+}
+
 void
 EndExpiredGrants(HolderState& aState, Instant aNow, Actions& aActions)
 {
@@ -150,7 +182,8 @@
            Actions& aActions)
 {
   const auto ended = aState.endedTerms_.find(aGrant.group());
-  if (ended != aState.endedTerms_.end() && aGrant.term() <= ended->second) {
+  if (ended != aState.endedTerms_.end() &&
+      GetTermEpoch(aGrant) <= ended->second) {
     return;
   }
   const auto expires =
@@ -164,16 +197,21 @@
     held.shareInUse_ = std::max(held.shareInUse_, leftover->second);
     aState.leftoverConnections_.erase(leftover);
   }
-  if (held.grant_.term() > aGrant.term()) {
+  if (GetTermEpoch(held.grant_) > GetTermEpoch(aGrant)) {
     return;
   }
-  if (held.grant_.term() != aGrant.term()) {
+  if (GetTermEpoch(held.grant_) != GetTermEpoch(aGrant)) {
     ReleaseSupersededTerm(aState, held);
   }
   held.shareInUse_ = std::max(held.shareInUse_, held.grant_.connection_share());
   if (aGrant.connection_share() >= held.shareInUse_) {
     held.shareInUse_ = 0;
   }
+  if (aGrant.has_acknowledged()) {
+    auto acknowledged = aGrant.acknowledged();
+    acknowledged.set_unknown(GetUnknownWrites(aState, acknowledged));
+    StoreAcknowledged(aState, acknowledged);
+  }
   held.grant_ = aGrant;
   held.stopped_ = false;
   held.expires_ = std::max(held.expires_, expires);
@@ -211,10 +249,11 @@
 {
   const auto& key = aRevoke.key();
   const auto held = aState.grants_.find(key.group());
-  EndTerm(aState, key.group(), key.term());
+  EndTerm(aState, key.group(), GetTermEpoch(key));
   aState.urgentUntil_ = aNow + kUrgentPeriodMs;
-  if (held == aState.grants_.end() || held->second.grant_.term() > key.term()) {
-    aState.releases_.try_emplace({ key.group(), key.term() }, 0);
+  if (held == aState.grants_.end() ||
+      GetTermEpoch(held->second.grant_) > GetTermEpoch(key)) {
+    aState.releases_.try_emplace({ key.group(), GetTermEpoch(key) }, 0);
     aState.nextHeartbeat_ = aState.lastSent_;
     return;
   }
@@ -242,7 +281,7 @@
 {
   const auto held = aState.grants_.find(aEvent.group_);
   if (held == aState.grants_.end() ||
-      held->second.grant_.term() != aEvent.term_) {
+      GetTermEpoch(held->second.grant_) != aEvent.term_) {
     return;
   }
   held->second.revoked_ |= aState.self_.draining();
--- a/packages/core/grants/internal/heldgrants.h
+++ b/packages/core/grants/internal/heldgrants.h
@@ -8,6 +8,11 @@
 //! and end.
 namespace wigeonlb::core::grants::internal {
 
+//! Stores what was acknowledged in the last term of a group. The bounds only
+//! rise within a term.
+void
+StoreAcknowledged(HolderState& aState, const wire::AcknowledgedWrites& aWrites);
+
 //! Ends grants whose lease has ended or whose drain has reached its deadline.
 void
 EndExpiredGrants(HolderState& aState,
--- a/packages/core/grants/internal/holdercontact.cpp
+++ b/packages/core/grants/internal/holdercontact.cpp
@@ -59,6 +59,7 @@
     auto* copy = aHeartbeat.add_held();
     copy->set_group(group);
     copy->set_term(held.grant_.term());
+    copy->set_epoch(held.grant_.epoch());
     copy->set_connection_share(
       std::max(held.grant_.connection_share(), held.shareInUse_));
   }
@@ -94,9 +95,13 @@
   for (auto& [key, sequence] : aState.releases_) {
     auto* released = heartbeat.add_released();
     released->set_group(key.first);
-    released->set_term(key.second);
+    released->set_term(key.second.term_);
+    released->set_epoch(key.second.epoch_);
     sequence = sequence == 0 ? aState.sequence_ : sequence;
   }
+  for (const auto& [group, writes] : aState.acknowledged_) {
+    *heartbeat.add_acknowledged() = writes;
+  }
   AddReports(aState, heartbeat, aNow);
   AddHeld(aState, heartbeat);
   AddHolders(aState, heartbeat);
--- a/packages/core/grants/tests/holder_tests.cpp
+++ b/packages/core/grants/tests/holder_tests.cpp
@@ -153,6 +153,32 @@
   CHECK(holder.state_.releases_.empty());
 }
 
+TEST_CASE("a resumed term is granted anew, and its former release is not its "
+          "own",
+          "[holder]")
+{
+  Fixture holder;
+  holder.Feed(ReplyReceived{ holder.NextReply(1) });
+  holder.Feed(RevokeReceived{ MakeRevoke(1) });
+  holder.Feed(DrainedForRelease{ "g", 1 });
+  auto resumed = holder.NextReply(1);
+  resumed.mutable_grants(0)->set_epoch(1);
+  holder.Feed(ReplyReceived{ resumed });
+  CHECK(Holds(holder.state_, "g", 1, holder.now_));
+  // What is left of the former epoch changes nothing.
+  holder.Feed(ReplyReceived{ holder.NextReply(1) });
+  holder.Feed(DrainedForRelease{ "g", 1 });
+  holder.Feed(RevokeReceived{ MakeRevoke(1) });
+  CHECK(Holds(holder.state_, "g", 1, holder.now_));
+  auto revoke = MakeRevoke(1);
+  revoke.mutable_key()->set_epoch(1);
+  holder.Feed(RevokeReceived{ revoke });
+  holder.Feed(DrainedForRelease{ "g", 1 });
+  CHECK(MayAcknowledge(holder.state_, "g", 1, holder.now_));
+  holder.Feed(DrainedForRelease{ "g", { 1, 1 } });
+  CHECK_FALSE(MayAcknowledge(holder.state_, "g", 1, holder.now_));
+}
+
 TEST_CASE("the next term's grant isn't revoked with the last one", "[holder]")
 {
   Fixture draining;
--- a/packages/core/positions/positions.cpp
+++ b/packages/core/positions/positions.cpp
@@ -162,15 +162,24 @@
 }
 
 bool
-CountsForMajority(const wire::TargetReport& aReport,
-                  const wire::GroupState& aGroup)
+HoldsUsableLog(const wire::TargetReport& aReport,
+               const wire::GroupState& aGroup)
 {
   const auto* target = FindTarget(aGroup, aReport.target());
-  return target != nullptr && target->counted() && aReport.reachable() &&
+  return target != nullptr && aReport.reachable() &&
          target->incarnation() == aReport.incarnation() &&
          !aReport.diverged() && !IsOnAbandonedTerm(aReport, aGroup);
 }
 
+bool
+CountsForMajority(const wire::TargetReport& aReport,
+                  const wire::GroupState& aGroup)
+{
+  const auto* target = FindTarget(aGroup, aReport.target());
+  return target != nullptr && target->counted() &&
+         HoldsUsableLog(aReport, aGroup);
+}
+
 std::optional<LogPosition>
 FindMajorityPosition(std::span<const wire::TargetReport> aReports,
                      const wire::GroupState& aGroup)
--- a/packages/core/positions/positions.h
+++ b/packages/core/positions/positions.h
@@ -86,9 +86,14 @@
   return aMembers / 2 + 1;
 }
 
-//! True when the report may count for a majority: it is of a reachable counted
-//! target with the admitted incarnation that is not on an abandoned term and
-//! does not report itself as diverged.
+//! True when the report is of a reachable target with the admitted incarnation
+//! that is not on an abandoned term and does not report itself as diverged.
+bool
+HoldsUsableLog(const wire::TargetReport& aReport,
+               const wire::GroupState& aGroup);
+
+//! True when the report may count for a majority: it is of a counted target
+//! that holds a usable log.
 bool
 CountsForMajority(const wire::TargetReport& aReport,
                   const wire::GroupState& aGroup);
--- a/packages/core/trace/internal/controlrules.cpp
+++ b/packages/core/trace/internal/controlrules.cpp
@@ -9,6 +9,7 @@
 
 #include "core/configuration/applyrecord.h"
 #include "core/trace/internal/rules.h"
+#include "foundation/termepoch.h"
 
 namespace wigeonlb::core::trace::internal {
 
@@ -42,7 +43,7 @@
   std::map<GroupTerm, std::pair<RecordLocation, wire::GroupState>> confirmed_;
   //! Highest fenced term and highest chosen term of each group, according to
   //! the records of the current clock so far.
-  std::map<std::string, std::uint64_t> fenced_;
+  std::map<std::string, foundation::TermEpoch> fenced_;
   std::map<std::string, std::uint64_t> chosen_;
   //! Groups that were dropped. A new group may have the same name and restart
   //! its terms, so that their terms can't be compared.
@@ -85,7 +86,7 @@
   }
   if (aGroup.fenced()) {
     auto& fenced = aRules.fenced_[name];
-    fenced = std::max(fenced, aGroup.term());
+    fenced = std::max(fenced, foundation::GetTermEpoch(aGroup));
   }
 }
 
@@ -176,14 +177,16 @@
   }
   std::string wrong;
   const auto fenced = aRules.fenced_.find(aGrant.group());
-  if (fenced != aRules.fenced_.end() && fenced->second >= aGrant.term()) {
+  if (fenced != aRules.fenced_.end() &&
+      fenced->second >= foundation::GetTermEpoch(aGrant)) {
     wrong = "is fenced";
   }
   const MemberView& member = aRules.members_[aLocation.trace_];
   const auto group = member.control_.groups().find(aGrant.group());
-  if (member.isKnown_ &&
-      (group == member.control_.groups().end() ||
-       group->second.term() != aGrant.term() || group->second.fenced())) {
+  if (member.isKnown_ && (group == member.control_.groups().end() ||
+                          foundation::GetTermEpoch(group->second) !=
+                            foundation::GetTermEpoch(aGrant) ||
+                          group->second.fenced())) {
     wrong = "is not in force at the issuing member";
   }
   if (!wrong.empty()) {
--- a/packages/core/trace/internal/trafficrules.cpp
+++ b/packages/core/trace/internal/trafficrules.cpp
@@ -7,12 +7,14 @@
 
 #include "core/trace/internal/rules.h"
 #include "foundation/logposition.h"
+#include "foundation/termepoch.h"
 
 namespace wigeonlb::core::trace::internal {
 
 namespace {
 
 using foundation::LogPosition;
+using foundation::TermEpoch;
 
 using RequestId = std::pair<std::uint64_t, std::uint64_t>;
 
@@ -43,11 +45,11 @@
   std::map<std::uint64_t, LogPosition> acknowledged_;
   std::map<std::uint64_t, ConnectionView> connections_;
   //! Highest term in which new writes were stopped permanently.
-  std::uint64_t stoppedTerm_ = 0;
-  //! Highest term in which all work has ended; 0 after a new grant.
-  std::uint64_t drainedTerm_ = 0;
+  TermEpoch stoppedTerm_;
+  //! Highest term in which all work has ended; none after a new grant.
+  TermEpoch drainedTerm_;
   //! Highest term whose grant was released, which ends it permanently.
-  std::uint64_t releasedTerm_ = 0;
+  TermEpoch releasedTerm_;
 };
 
 using OwnerKey = std::tuple<std::size_t, std::string, std::uint64_t>;
@@ -57,6 +59,8 @@
   RuleInput& input_;
   std::map<OwnerKey, OwnerView> owners_;
   std::set<std::size_t> incomplete_; //!< traces with dropped records
+  //! Epoch of the last grant of each group, by trace.
+  std::map<std::pair<std::size_t, std::string>, std::uint64_t> epochs_;
 
   OwnerView& GetOwner(const RecordLocation& aLocation,
                       const wire::RequestKey& aKey)
@@ -265,7 +269,9 @@
   OwnerView& owner = aRules.GetOwner(aLocation, aEvent.key());
   const LogPosition position = ToPosition(aEvent.position());
   const bool ended =
-    std::max(owner.releasedTerm_, owner.drainedTerm_) >= position.term_;
+    std::max(owner.releasedTerm_, owner.drainedTerm_) >=
+    TermEpoch{ position.term_,
+               aRules.epochs_[{ aLocation.trace_, aEvent.key().group() }] };
   const bool held = aEvent.grant_term() == position.term_ &&
                     aEvent.lease_left_us() > 0 && !ended;
   if (!held) {
@@ -337,12 +343,12 @@
 RaiseTerm(TrafficRules& aRules,
           const RecordLocation& aLocation,
           const wire::GrantKey& aKey,
-          std::uint64_t OwnerView::*aTerm)
+          TermEpoch OwnerView::*aTerm)
 {
   for (auto& [key, owner] : aRules.owners_) {
     if (std::get<0>(key) == aLocation.trace_ &&
         std::get<1>(key) == aKey.group()) {
-      owner.*aTerm = std::max<std::uint64_t>(owner.*aTerm, aKey.term());
+      owner.*aTerm = std::max(owner.*aTerm, foundation::GetTermEpoch(aKey));
     }
   }
 }
@@ -354,11 +360,12 @@
                  const RecordLocation& aLocation,
                  const wire::Grant& aGrant)
 {
+  aRules.epochs_[{ aLocation.trace_, aGrant.group() }] = aGrant.epoch();
   for (auto& [key, owner] : aRules.owners_) {
     if (std::get<0>(key) == aLocation.trace_ &&
         std::get<1>(key) == aGrant.group() &&
-        owner.stoppedTerm_ < aGrant.term()) {
-      owner.drainedTerm_ = 0;
+        owner.stoppedTerm_ < foundation::GetTermEpoch(aGrant)) {
+      owner.drainedTerm_ = {};
     }
   }
 }
--- a/packages/core/trace/trafficrecords.cpp
+++ b/packages/core/trace/trafficrecords.cpp
@@ -111,6 +111,7 @@
   auto& held = *NewRecord(aContext).mutable_grant_held();
   held.mutable_grant()->set_group(aContext.recording_.group_);
   held.mutable_grant()->set_term(aEvent.grant_->term_);
+  held.mutable_grant()->set_epoch(aEvent.grant_->epoch_);
   held.mutable_grant()->set_primary(aEvent.grant_->primary_);
   held.mutable_grant()->set_connection_share(aEvent.grant_->share_);
   const auto left = aEvent.grant_->expires_ - aContext.now_;
@@ -124,6 +125,7 @@
   auto& stopped = *NewRecord(aContext).mutable_grant_stopped();
   stopped.set_group(aContext.recording_.group_);
   stopped.set_term(aEvent.term_);
+  stopped.set_epoch(aEvent.epoch_);
 }
 
 void
@@ -331,12 +333,18 @@
   aContext.recording_.requests_.erase(aAction.request_.session_);
 }
 
+void
+Process(StepContext&, const traffic::WritesAcknowledged&)
+{
+}
+
 void
 Process(StepContext& aContext, const traffic::TermReleased& aAction)
 {
   auto& drained = *NewRecord(aContext).mutable_grant_drained();
   drained.set_group(aContext.recording_.group_);
-  drained.set_term(aAction.term_);
+  drained.set_term(aAction.term_.term_);
+  drained.set_epoch(aAction.term_.epoch_);
 }
 
 } // namespace
--- a/packages/core/traffic/actions.h
+++ b/packages/core/traffic/actions.h
@@ -147,7 +147,14 @@
 //! No statement is in flight any more under the revoked or expired term.
 struct TermReleased
 {
-  std::uint64_t term_ = 0;
+  foundation::TermEpoch term_;
+};
+
+//! Reports what this owner has acknowledged. Emitted before the Finish of the
+//! request that it includes.
+struct WritesAcknowledged
+{
+  wire::AcknowledgedWrites writes_;
 };
 
 using TrafficAction = std::variant<OpenConnection,
@@ -159,6 +166,7 @@
                                    SendProbe,
                                    ResetProbe,
                                    Finish,
+                                   WritesAcknowledged,
                                    CancelOnTarget,
                                    TermReleased>;
 
--- a/packages/core/traffic/events.h
+++ b/packages/core/traffic/events.h
@@ -12,6 +12,7 @@
 #include "foundation/clock.h"
 #include "foundation/identifiers.h"
 #include "foundation/logposition.h"
+#include "foundation/termepoch.h"
 
 namespace wigeonlb::core::traffic {
 
@@ -54,6 +55,7 @@
   //! leader has received nothing since, by the names under which they connect
   //! to targets. Such a host may be frozen and still hold locks there.
   std::vector<std::string> endedHolders_ = {};
+  std::uint64_t epoch_ = 0; //!< of the term
 };
 
 //! The group's replicated state or its announced targets have changed.
@@ -90,6 +92,7 @@
   //! Time limit for statements in flight; Settings::revokeDrain_ when empty. A
   //! planned switchover allows more.
   std::optional<Duration> drain_;
+  std::uint64_t epoch_ = 0; //!< of the term
 };
 
 //! A statement to run. Each one gets exactly one Finish, unless a later one of
--- a/packages/core/traffic/internal/acknowledgement.cpp
+++ b/packages/core/traffic/internal/acknowledgement.cpp
@@ -75,6 +75,7 @@
   finish.position_ = aRequest.commit_;
   finish.servedBy_ = aRequest.servedBy_;
   finish.passTargetAnswer_ = true;
+  OnWriteAcknowledged(aContext, aRequest);
   FinishRequest(aContext, aRequest, std::move(finish));
 }
 
--- a/packages/core/traffic/internal/arrivals.cpp
+++ b/packages/core/traffic/internal/arrivals.cpp
@@ -149,6 +149,7 @@
 DropCurrentRequest(Context& aContext, Session& aSession)
 {
   Unqueue(*aSession.current_);
+  OnWriteLost(aContext, *aSession.current_);
   DetachRequest(aContext, *aSession.current_, true);
   aSession.current_.reset();
   if (aSession.pinned_ != 0) {
--- a/packages/core/traffic/internal/connections.cpp
+++ b/packages/core/traffic/internal/connections.cpp
@@ -293,6 +293,9 @@
   aConnection.session_ = aRequest.id_.session_;
   aConnection.withProbe_ = probe;
   aConnection.probeAnswered_ = false;
+  if (aRequest.term_ != 0) {
+    OnWriteSent(aContext, aRequest);
+  }
   const Session& session = group.sessions_.at(aRequest.id_.session_);
   const bool checkHasWritten = aRequest.inTransaction_ && !session.wrote_ &&
                                !session.failed_ &&
--- a/packages/core/traffic/internal/grants.cpp
+++ b/packages/core/traffic/internal/grants.cpp
@@ -12,6 +12,14 @@
 
 namespace {
 
+using foundation::TermEpoch;
+
+TermEpoch
+GetTerm(const HeldGrant& aGrant)
+{
+  return { aGrant.term_, aGrant.epoch_ };
+}
+
 bool
 IsInFlight(const Request& aRequest)
 {
@@ -123,10 +131,10 @@
 }
 
 void
-EndTerm(Context& aContext, std::uint64_t aTerm)
+EndTerm(Context& aContext, const TermEpoch& aTerm)
 {
   Group& group = aContext.group_;
-  const std::uint64_t released =
+  const TermEpoch released =
     group.drainingTerm_ ? std::max(aTerm, group.drainingTerm_->term_) : aTerm;
   group.grant_.reset();
   group.grantEndedAt_ = aContext.now_;
@@ -134,7 +142,7 @@
   ++group.version_;
   SetLimits(aContext);
   for (const auto id : GetSortedSessions(group)) {
-    EndSession(aContext, id, aTerm);
+    EndSession(aContext, id, aTerm.term_);
   }
   RejectWaiting(aContext);
   Emit(aContext, TermReleased{ released });
@@ -189,17 +197,17 @@
   Group& group = aContext.group_;
   const auto& newGrant = aEvent.grant_;
   const bool same =
-    group.grant_ && newGrant && group.grant_->term_ == newGrant->term_;
+    group.grant_ && newGrant && GetTerm(*group.grant_) == GetTerm(*newGrant);
   const bool draining =
-    same && group.drainingTerm_ && newGrant->term_ <= group.revokedTerm_;
-  if (!draining && newGrant && newGrant->term_ <= group.revokedTerm_) {
+    same && group.drainingTerm_ && GetTerm(*newGrant) <= group.revokedTerm_;
+  if (!draining && newGrant && GetTerm(*newGrant) <= group.revokedTerm_) {
     return;
   }
-  if (newGrant && group.grant_ && newGrant->term_ < group.grant_->term_) {
+  if (newGrant && group.grant_ && GetTerm(*newGrant) < GetTerm(*group.grant_)) {
     return;
   }
   if (group.grant_ && !same) {
-    const std::uint64_t ended = group.grant_->term_;
+    const TermEpoch ended = GetTerm(*group.grant_);
     group.revokedTerm_ =
       newGrant ? std::max(group.revokedTerm_, ended) : group.revokedTerm_;
     EndTerm(aContext, ended);
@@ -216,16 +224,17 @@
 OnStopNewWrites(Context& aContext, const StopNewWrites& aEvent)
 {
   Group& group = aContext.group_;
+  const TermEpoch stopped{ aEvent.term_, aEvent.epoch_ };
   if (aEvent.revoked_) {
-    group.revokedTerm_ = std::max(group.revokedTerm_, aEvent.term_);
+    group.revokedTerm_ = std::max(group.revokedTerm_, stopped);
   }
-  if (!group.grant_ || group.grant_->term_ > aEvent.term_) {
-    Emit(aContext, TermReleased{ aEvent.term_ });
+  if (!group.grant_ || GetTerm(*group.grant_) > stopped) {
+    Emit(aContext, TermReleased{ stopped });
     return;
   }
   group.drainingTerm_ =
-    DrainingTerm{ aEvent.term_,
-                  aContext.now_ + ComputeDrain(aContext, aEvent) };
+    DrainingTerm{ stopped, aContext.now_ + ComputeDrain(aContext, aEvent) };
+  ReportWrites(aContext);
   ++group.version_;
   RejectWaiting(aContext);
 }
@@ -237,13 +246,13 @@
   if (!group.grant_) {
     return;
   }
-  const std::uint64_t term = group.grant_->term_;
+  const TermEpoch term = GetTerm(*group.grant_);
   const bool expired = aContext.now_ >= group.grant_->expires_ &&
                        group.settings_.guards_.grantAtDispatch_ &&
                        group.settings_.guards_.grantAtAcknowledgement_;
   const bool drained =
     group.drainingTerm_ && (aContext.now_ >= group.drainingTerm_->drainEnd_ ||
-                            !IsTermInUse(group, term));
+                            !IsTermInUse(group, term.term_));
   if (expired || drained) {
     EndTerm(aContext, term);
   }
--- a/packages/core/traffic/internal/group.h
+++ b/packages/core/traffic/internal/group.h
@@ -20,6 +20,7 @@
 #include "core/routing/targethealth.h"
 #include "core/traffic/actions.h"
 #include "core/traffic/events.h"
+#include "core/traffic/internal/termwrites.h"
 #include "core/traffic/settings.h"
 
 namespace wigeonlb::core::traffic::internal {
@@ -82,6 +83,11 @@
   //! In the phase ReplicaWait: latest time at which it is routed again.
   Instant waitUntil_;
   LogPosition commit_;
+  //! While it is a write in flight: its number in TermWrites, that term, and
+  //! the newest known position of the primary when it was sent. 0: it is none.
+  std::uint64_t write_ = 0;
+  std::uint64_t writeTerm_ = 0;
+  LogPosition knownBefore_;
   TargetName servedBy_;
 
   //! Link in one of the waiting lists.
@@ -233,7 +239,7 @@
 //! A revoked or no longer renewed term with statements in flight.
 struct DrainingTerm
 {
-  std::uint64_t term_ = 0;
+  foundation::TermEpoch term_;
   Instant drainEnd_;
 };
 
@@ -257,7 +263,7 @@
   std::uint32_t share_ = 0;
   std::optional<DrainingTerm> drainingTerm_;
   //! Grants for this term and earlier ones are void, even if received later.
-  std::uint64_t revokedTerm_ = 0;
+  foundation::TermEpoch revokedTerm_;
 
   ConnectionId nextConnection_ = 1;
 
@@ -273,6 +279,7 @@
   admission::ServiceTime primaryService_;
   admission::ServiceTime readService_;
 
+  TermWrites writes_;
   routing::SampleWindow samples_;
   retry::RetryBudget retries_;
   routing::Generator generator_;
--- a/packages/core/traffic/internal/outcomes.cpp
+++ b/packages/core/traffic/internal/outcomes.cpp
@@ -117,6 +117,11 @@
   aFinish.request_ = aRequest.id_;
   AbortRefusedTransaction(aContext, aRequest, aFinish);
   CountOutcome(aContext, aFinish);
+  if (aFinish.outcome_ == wire::OUTCOME_UNKNOWN) {
+    OnWriteLost(aContext, aRequest);
+  } else {
+    OnWriteUndone(aContext, aRequest);
+  }
   Unqueue(aRequest);
   const SessionId id = aRequest.id_.session_;
   aContext.group_.sessions_.at(id).current_.reset();
--- a/packages/core/traffic/internal/targets.cpp
+++ b/packages/core/traffic/internal/targets.cpp
@@ -127,8 +127,9 @@
   aSettings.concurrency_ = concurrency == 0
                              ? std::numeric_limits<std::uint32_t>::max()
                              : static_cast<std::uint32_t>(concurrency);
-  aSettings.majorityAcknowledges_ =
-    configuration::OptionText(aGroup, "acknowledge") == "majority";
+  const auto acknowledge = configuration::OptionText(aGroup, "acknowledge");
+  aSettings.majorityAcknowledges_ = acknowledge == "majority";
+  aSettings.oneReplicaAcknowledges_ = acknowledge == "one_replica";
   aSettings.requestKeys_ = !configuration::RequestKeyTable(aGroup).empty();
 }
 
--- a/packages/core/traffic/settings.h
+++ b/packages/core/traffic/settings.h
@@ -92,6 +92,9 @@
   //! Writes are acknowledged only after a majority has synced them; option
   //! `acknowledge`.
   bool majorityAcknowledges_ = true;
+  //! Writes are acknowledged by the primary once one replica has received
+  //! them; option `acknowledge`.
+  bool oneReplicaAcknowledges_ = false;
   //! Requests may have request keys; option `request_keys`.
   bool requestKeys_ = false;
   foundation::Duration openTimeout_ = 1s;
--- a/packages/core/traffic/tests/fakegroup.cpp
+++ b/packages/core/traffic/tests/fakegroup.cpp
@@ -491,7 +491,7 @@
 void
 FakeGroup::Act(const TermReleased& aAction)
 {
-  released_ = aAction.term_;
+  released_ = aAction.term_.term_;
 }
 
 } // namespace wigeonlb::core::traffic::tests
--- a/packages/core/traffic/tests/fakegroup.h
+++ b/packages/core/traffic/tests/fakegroup.h
@@ -153,6 +153,7 @@
   std::map<RequestId, Result> results_;
   std::vector<std::string> violations_;
   std::uint64_t released_ = 0;
+  wire::AcknowledgedWrites reportedWrites_; //!< as last reported
   std::map<RequestId, int> timesSent_;
   TrafficState state_;
   std::mt19937 random_;
@@ -221,6 +222,10 @@
   void Act(const Finish& aAction);
   void Act(const CancelOnTarget& aAction);
   void Act(const TermReleased& aAction);
+  void Act(const WritesAcknowledged& aAction)
+  {
+    reportedWrites_ = aAction.writes_;
+  }
   void Execute(ConnectionId aId, std::uint64_t aStatement);
   void Answer(ConnectionId aId, std::uint64_t aStatement, std::string aError);
   std::string RunStatement(Link& aLink, const SentRequest& aSentRequest);
