--- a/apps/wigeonlbd/control/controlruntime.cpp
+++ b/apps/wigeonlbd/control/controlruntime.cpp
@@ -323,7 +323,7 @@
   if (leader_ != nullptr && leader_->IsLeading()) {
     due = std::min(due, lastTick_ + kLeaderTickMs);
   }
-  if (!decidedChanges_.empty()) {
+  if (!decidedChanges_.empty() || !announcements_.empty()) {
     due = std::min(due, lastTick_ + kInForceCheckIntervalMs);
   }
   return due;
@@ -340,6 +340,7 @@
   agent_->OnTick();
   submitter_->OnTick();
   AnswerChangesInForce();
+  AnswerAnnouncements();
   CheckMayEnd();
   if (lastTick_ >= nextReports_) {
     nextReports_ = lastTick_ + kReportIntervalMs;
@@ -350,6 +351,37 @@
   }
 }
 
+void
+ControlRuntime::OnAnnouncement(wire::Announcement aAnnouncement,
+                               AnnouncementDone aDone)
+{
+  agent_->OnAnnouncement(aAnnouncement);
+  if (MayAcknowledge(agent_->View().state_, aAnnouncement)) {
+    aDone(true);
+    return;
+  }
+  const foundation::Instant now = foundation::SteadyNow();
+  if (now - agent_->GetLastLeaderContact() > kRecordLimitMs) {
+    aDone(false); // no leader could record it in time
+    return;
+  }
+  AddWaiting(announcements_, std::move(aAnnouncement), std::move(aDone), now);
+  agent_->ExpediteHeartbeat();
+}
+
+void
+ControlRuntime::AnswerAnnouncements()
+{
+  if (announcements_.empty()) {
+    return;
+  }
+  AnswerRecorded(
+    announcements_, agent_->View().state_, foundation::SteadyNow());
+  if (!announcements_.empty()) {
+    agent_->ExpediteHeartbeat();
+  }
+}
+
 void
 ControlRuntime::SubmitChange(wire::ConfigurationChange aChange,
                              ChangeDone aDone)
--- a/apps/wigeonlbd/control/controlruntime.h
+++ b/apps/wigeonlbd/control/controlruntime.h
@@ -10,6 +10,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "control/announcementgate.h"
 #include "control/changesubmitter.h"
 #include "control/hostagent.h"
 #include "control/leaderdriver.h"
@@ -71,6 +72,10 @@
   //! any thread.
   void PostTokenRequest(wire::QuotaRequest aRequest);
 
+  //! Takes a target's announcement. aDone is called once it may be
+  //! acknowledged, or may not in time. On the control thread only.
+  void OnAnnouncement(wire::Announcement aAnnouncement, AnnouncementDone aDone);
+
   boost::asio::io_context& Context() { return context_; }
   //! Identifies this start of the host.
   std::uint64_t Boot() const { return boot_; }
@@ -125,6 +130,7 @@
   void Run();
   foundation::Instant NextDue() const;
   void OnTick();
+  void AnswerAnnouncements();
   void AnswerChangesInForce();
   void CheckMayEnd();
   void SetPeers();
@@ -197,6 +203,7 @@
     foundation::Instant answerAt_; //!< answered then even if not in force
   };
   std::vector<DecidedChange> decidedChanges_;
+  std::vector<WaitingAnnouncement> announcements_;
   bool draining_ = false;
   std::atomic<bool> mayEnd_ = false;
   foundation::Instant lastTick_;
--- a/apps/wigeonlbd/daemon.cpp
+++ b/apps/wigeonlbd/daemon.cpp
@@ -148,8 +148,9 @@
     control_->NoteProbe(serving);
     return serving;
   };
-  interface.onAnnouncement_ = [this](wire::Announcement&& aAnnouncement) {
-    control_->Agent().OnAnnouncement(aAnnouncement);
+  interface.onAnnouncement_ = [this](wire::Announcement&& aAnnouncement,
+                                     std::function<void(bool)> aDone) {
+    control_->OnAnnouncement(std::move(aAnnouncement), std::move(aDone));
   };
   interface.onTargetRemoved_ =
     [this](const foundation::TargetName& aTarget,
--- a/apps/wigeonlbd/ports.h
+++ b/apps/wigeonlbd/ports.h
@@ -42,7 +42,9 @@
 {
   //! Whether this host accepts new callers.
   std::function<bool()> isServing_;
-  std::function<void(wire::Announcement&&)> onAnnouncement_;
+  //! The callback receives whether the announcement is acknowledged.
+  std::function<void(wire::Announcement&&, std::function<void(bool)>)>
+    onAnnouncement_;
   //! A target is shutting down and will not return. The incarnation is empty if
   //! the notice does not contain it.
   std::function<void(const foundation::TargetName&,
--- a/packages/announcements/announcementroutes.cpp
+++ b/packages/announcements/announcementroutes.cpp
@@ -17,17 +17,24 @@
   return { .status_ = 503, .body_ = "draining\n" };
 }
 
-http::HttpResponse
-AnswerAnnouncement(const AnnouncementCallbacks& aCallbacks,
-                   const http::HttpRequest& aRequest)
+void
+HandleAnnouncement(const AnnouncementCallbacks& aCallbacks,
+                   const http::HttpRequest& aRequest,
+                   const http::ResponseCallback& aRespond)
 {
   foundation::Findings findings;
   wire::Announcement announcement = ParseAnnouncement(aRequest.body_, findings);
   if (!findings.empty()) {
-    return { .status_ = 400, .body_ = foundation::ToString(findings) };
+    aRespond({ .status_ = 400, .body_ = foundation::ToString(findings) });
+    return;
   }
-  aCallbacks.onAnnouncement_(std::move(announcement));
-  return { .status_ = 200, .body_ = "announced\n" };
+  aCallbacks.onAnnouncement_(
+    std::move(announcement), [aRespond](bool aIsAcknowledged) {
+      aRespond(aIsAcknowledged
+                 ? http::HttpResponse{ .status_ = 200, .body_ = "announced\n" }
+                 : http::HttpResponse{ .status_ = 503,
+                                       .body_ = "not recorded yet\n" });
+    });
 }
 
 } // namespace
@@ -45,7 +52,7 @@
     "POST",
     "/announce",
     [aCallbacks](const http::HttpRequest& aRequest, const auto& aRespond) {
-      aRespond(AnswerAnnouncement(aCallbacks, aRequest));
+      HandleAnnouncement(aCallbacks, aRequest, aRespond);
     });
 }
 
--- a/packages/announcements/announcementroutes.h
+++ b/packages/announcements/announcementroutes.h
@@ -13,11 +13,13 @@
 {
   //! Returns whether this host accepts new callers.
   std::function<bool()> isServing_;
-  std::function<void(wire::Announcement&&)> onAnnouncement_;
+  //! The callback receives whether the announcement is acknowledged.
+  std::function<void(wire::Announcement&&, std::function<void(bool)>)>
+    onAnnouncement_;
 };
 
 //! Adds `GET /healthz` (200 while serving, else 503) and `POST /announce` (200,
-//! or 400 with all findings).
+//! 400 with all findings, or 503 while the target isn't recorded).
 void
 RegisterAnnouncementRoutes(http::HttpRouter& aRouter,
                            AnnouncementCallbacks aCallbacks);
--- a/packages/announcements/tests/announcements_tests.cpp
+++ b/packages/announcements/tests/announcements_tests.cpp
@@ -90,6 +90,7 @@
     bool serving_;
     int status_;
     std::size_t announced_;
+    bool recorded_ = true;
   };
   const auto row = GENERATE(values<Row>({
     { "GET", "/healthz", "", true, 200, 0 },
@@ -97,14 +98,16 @@
     { "POST", "/healthz", "", true, 405, 0 },
     { "POST", "/announce", kValidJson, true, 200, 1 },
     { "POST", "/announce", kValidJson, false, 200, 1 },
+    { "POST", "/announce", kValidJson, true, 503, 1, false },
     { "POST", "/announce", "{}", true, 400, 0 },
   }));
   std::vector<wire::Announcement> announced;
   const AnnouncementCallbacks callbacks{
     .isServing_ = [&] { return row.serving_; },
     .onAnnouncement_ =
-      [&](wire::Announcement&& aAnnouncement) {
+      [&](wire::Announcement&& aAnnouncement, const auto& aDone) {
         announced.push_back(std::move(aAnnouncement));
+        aDone(row.recorded_);
       },
   };
   const http::HttpRequest request{ .method_ = row.method_,
