--- a/packages/core/failover/failover.cpp
+++ b/packages/core/failover/failover.cpp
@@ -40,6 +40,20 @@
   }
 }
 
+//! Starts the record of what is acknowledged in the group's term.
+//! aIsWholeTerm: no earlier leader has issued grants of it.
+void
+BeginWrites(GroupContext& aContext, bool aIsWholeTerm)
+{
+  const auto& group = aContext.group_;
+  auto& writes = aContext.state_.grants_.writes_;
+  if (GetAcknowledgement(group) == Acknowledgement::OneReplica) {
+    grants::BeginTerm(writes[group.group()], group.term(), aIsWholeTerm);
+  } else {
+    writes.erase(group.group());
+  }
+}
+
 //! Discards progress that belongs to an earlier term or a completed fence.
 void
 ResetTermProgress(GroupContext& aContext)
@@ -48,12 +62,7 @@
   const auto& group = aContext.group_;
   const bool isFirstStep = progress.termSince_ == Instant{};
   if (progress.term_ != group.term() || isFirstStep) {
-    // On the first step, an earlier leader may have issued grants of the term.
-    const bool knowsAllHolders =
-      !isFirstStep && GetAcknowledgement(group) == Acknowledgement::OneReplica;
-    grants::BeginTerm(aContext.state_.grants_.writes_[group.group()],
-                      group.term(),
-                      knowsAllHolders);
+    BeginWrites(aContext, !isFirstStep);
     progress.term_ = group.term();
     progress.termSince_ = aContext.now_;
     progress.fenceProposedAt_.reset();
